--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -1,6 +1,7 @@
 //! The command line, with an environment variable for each flag of a process.
 
 use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
 use std::time::Duration;
 
 use bamboocourse_decide::parse_duration;
@@ -25,6 +26,8 @@
 pub(crate) enum Command {
     #[options(help = "run one entry VM")]
     Serve(ServeOptions),
+    #[options(help = "run one entry VM on a platform")]
+    Entry(EntryOptions),
     #[options(help = "check service files")]
     Check(CheckOptions),
     #[options(help = "check and publish service files")]
@@ -39,6 +42,15 @@
     Key(KeyOptions),
 }
 
+/// Options of `entry`.
+#[derive(Debug, Options)]
+pub(crate) struct EntryOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(no_short, help = "the platform's settings file", meta = "PATH")]
+    pub(crate) settings: Option<PathBuf>,
+}
+
 /// Options of `serve`.
 #[derive(Debug, Options)]
 pub(crate) struct ServeOptions {
@@ -219,6 +231,7 @@
 fn command_usage(command: &str) -> Option<String> {
     Some(match command {
         "serve" => usage_of::<ServeOptions>(),
+        "entry" => usage_of::<EntryOptions>(),
         "check" => usage_of::<CheckOptions>(),
         "publish" => usage_of::<PublishOptions>(),
         "status" => usage_of::<AskOptions>(),
--- /dev/null
+++ b/crates/cli/src/entry.rs
@@ -0,0 +1,80 @@
+//! `entry`: runs one entry VM on a platform until it is told to leave.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use bamboocourse_entry::{EntryProcess, Pool};
+use bamboocourse_platform::{PlatformProtocol, PlatformSettings, PlatformStore, read_settings};
+use log::{error, info};
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::args::EntryOptions;
+use crate::{Exit, logs};
+
+/// Runs an entry VM until SIGTERM or SIGINT, then lets it finish what it runs.
+pub(crate) fn entry(options: &EntryOptions) -> Exit {
+    let Some(path) = &options.settings else {
+        eprintln!("bamboocourse: no settings file; give --settings or BAMBOOCOURSE_SETTINGS");
+        return Exit::Usage;
+    };
+    let settings = match load(path) {
+        Ok(settings) => settings,
+        Err(why) => {
+            eprintln!("bamboocourse: {}: {why}", path.display());
+            return Exit::Usage;
+        }
+    };
+    logs::start();
+    let result = runtime(settings.cores).and_then(|runtime| runtime.block_on(run(settings, path)));
+    let exit = match result {
+        Ok(()) => Exit::Fine,
+        Err(why) => {
+            error!(why:%; "the VM cannot serve");
+            eprintln!("bamboocourse: cannot serve: {why}");
+            Exit::Failed
+        }
+    };
+    logs::flush();
+    exit
+}
+
+/// Makes a runtime with a worker for each core; one core needs no others.
+fn runtime(cores: usize) -> std::io::Result<Runtime> {
+    if cores <= 1 {
+        return Builder::new_current_thread().enable_all().build();
+    }
+    Builder::new_multi_thread().worker_threads(cores).enable_all().build()
+}
+
+async fn run(settings: PlatformSettings, path: &Path) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let pool = Pool::new(settings.entry.local);
+    let store = Arc::new(PlatformStore::new(settings.store, pool));
+    let vm = EntryProcess::start(settings.entry.clone(), store, Arc::new(PlatformProtocol))?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(&settings, path),
+        }
+    }
+    vm.leave().await;
+    Ok(())
+}
+
+/// Looks at a changed settings file; what it says holds from the next start on.
+fn reload(current: &PlatformSettings, path: &Path) {
+    match load(path) {
+        Ok(settings) if settings == *current => info!("the settings file is unchanged"),
+        Ok(_) => info!("the settings file has changed; it is used from the next start on"),
+        Err(why) => error!(why:%; "the settings file cannot be used; the former settings hold"),
+    }
+}
+
+fn load(path: &Path) -> Result<PlatformSettings, String> {
+    let text = std::fs::read_to_string(path).map_err(|error| error.to_string())?;
+    read_settings(&text).map_err(|error| error.to_string())
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,7 +2,9 @@
 
 mod args;
 mod ask;
+mod entry;
 mod files;
+mod logs;
 mod publish;
 mod serve;
 
@@ -32,7 +34,6 @@
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let exit = match args::parse(std::env::args().skip(1), |name| std::env::var(name).ok()) {
         Ok(args) => run(args),
         Err(message) => {
@@ -47,8 +48,12 @@
     let Some(command) = args.command else {
         return help(args.help);
     };
+    if !matches!(command, Command::Entry(_)) {
+        env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    }
     match command {
         Command::Serve(options) => serve::serve(&options),
+        Command::Entry(options) => entry::entry(&options),
         Command::Check(options) => publish::check_files(&options.files),
         Command::Publish(options) => publish::publish_files(&options),
         Command::Status(options) => ask::status(&options),
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -21,6 +21,9 @@
 pub use error::{Answer, Kind, Ran, Refusal};
 pub use ids::*;
 pub use map::{FastMap, FastSet, hash_of, rendezvous};
+pub use process::allowance::pool::{Ceiling, TokenPool};
+pub use process::allowance::spender::{Admitted, Short, Spender, Spending};
+pub use process::allowance::{CEILING_TERM, Limit, MILLION};
 pub use process::limits::account::{Account, Action, Hold, Ticket};
 pub use process::limits::homes::{HOMES, domain_weights, home_count, homes, lenders, target};
 pub use process::limits::lend::{Ask, Grant, Unused};
@@ -34,15 +37,20 @@
 pub use process::members::{
     ALIVE_FOR, Difference, Entry, Knowledge, Mark, Members, ShortName, gossip_every, short_name,
 };
+pub use process::placement::fleet::{FleetPlanner, Intake, Move, Site};
 pub use process::placement::forecast::Forecast;
 pub use process::placement::lease::{
-    LEASE_EVERY, LEASE_MARGIN, LEASE_TERM, Lease, LeaseEvent, LeaseRow, Proposal,
+    LEASE_EVERY, LEASE_MARGIN, LEASE_TERM, Lease, LeaseEvent, LeaseRow, Proposal, Terms,
 };
 pub use process::placement::ledger::{
     Denied, EndpointRow, EngineState, Item, Ledger, ORDER_HORIZON, ORDER_REPEAT, OpenOrder, Order,
     OrderNumber,
 };
 pub use process::placement::plan::{Host, Placeable, Placer, Reason, Step as PlanStep};
+pub use process::placement::station::{Command, Reply, Report, Resident, Station};
+pub use process::window::Window;
+pub use request::budget::{RepeatBudget, RepeatLimit};
+pub use request::dispatch::{Dispatcher, Ending, Listing, Need, Shortage, Turn, Wanted};
 pub use request::fair::{BATCH_TURN, FairQueue};
 pub use request::once::{
     Attempt, Next, OnceRow, RUNNING_MILLIS, StoreSaid, StoredAnswer, once_key,
@@ -55,6 +63,9 @@
     Access, Adapter, Compiled, Config, Endpoint, Model, Objective, Priority, Route, Service,
     ServiceKind, StoreLimits, Workspace,
 };
+pub use version::fleet::{
+    CallerLimits, Fleet, FleetEngine, FleetModel, FleetRoute, FleetService, FleetWorkspace, Repeat,
+};
 pub use version::head::{Head, InForce, Step};
 pub use version::key::{KeyHash, new_key};
 pub use version::publish::{Conflict, FileHashes, rebase};
--- /dev/null
+++ b/crates/decide/src/process/allowance/spender.rs
@@ -0,0 +1,143 @@
+//! One VM's side of a workspace's tokens.
+
+use std::time::Duration;
+
+use super::{CEILING_TERM, Limit, MILLION};
+use crate::ids::{Fence, Tokens};
+use crate::process::window::Window;
+
+/// How far back demand is measured.
+const DEMAND_SPAN: Duration = Duration::from_secs(1);
+/// The time before a caller over the limit comes back, unless a window says more.
+const RETRY_FLOOR: Duration = Duration::from_millis(500);
+/// The longest time that a caller over the limit is told to wait.
+const RETRY_MOST: Duration = Duration::from_secs(4);
+
+/// Why tokens were not admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Short {
+    /// The limit leaves none for now; a caller may come back after this time.
+    Spent(Duration),
+    /// More may be granted within moments.
+    Asking(Duration),
+}
+
+/// Where admitted tokens came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Admitted {
+    /// Tokens from the VM's floor.
+    pub floor: Tokens,
+    /// Tokens from the granted ceiling.
+    pub pool: Tokens,
+}
+
+/// What a VM tells the holder of the pool about one workspace.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Spending {
+    /// Tokens of the pool spent since the VM's process began.
+    pub spent: Tokens,
+    /// Tokens asked for in the last second, beyond what the floor gave.
+    pub wanted: Tokens,
+}
+
+/// One VM's tokens of one workspace.
+#[derive(Debug, Clone)]
+pub struct Spender {
+    limit: Limit,
+    floor: Tokens,
+    /// From when the floor may be used: one window after a restart.
+    opens: Duration,
+    floor_used: Window,
+    spent: Tokens,
+    ceiling: Tokens,
+    until: Duration,
+    fence: Fence,
+    wanted: Window,
+    hungry: bool,
+}
+
+impl Spender {
+    /// Makes a spender whose floor may be used from a time on.
+    ///
+    /// ```
+    /// use bamboocourse_decide::{Limit, Spender};
+    /// use std::time::Duration;
+    /// let window = Duration::from_secs(8);
+    /// let limit = Limit { rate: 100.0, burst: 100.0, window, excess: 0.0, slack: 0 };
+    /// let mut spender = Spender::new(limit, 1_000_000, Duration::ZERO);
+    /// assert!(spender.admit(10, Duration::ZERO).is_ok());
+    /// assert!(spender.admit(10_000, Duration::ZERO).is_err());
+    /// ```
+    pub fn new(limit: Limit, weight: u64, opens: Duration) -> Self {
+        let mut spender = Self {
+            limit,
+            floor: 0,
+            opens,
+            floor_used: Window::new(limit.window),
+            spent: 0,
+            ceiling: 0,
+            until: Duration::ZERO,
+            fence: 0,
+            wanted: Window::new(DEMAND_SPAN),
+            hungry: false,
+        };
+        spender.set_limit(limit, weight);
+        spender
+    }
+
+    /// Sets the limit and this VM's weight of all floors, in millionths.
+    pub fn set_limit(&mut self, limit: Limit, weight: u64) {
+        self.limit = limit;
+        self.floor = limit.floors() * weight / MILLION;
+    }
+
+    /// Admits tokens, or says why not; all of them come from one window or the other.
+    pub fn admit(&mut self, tokens: Tokens, now: Duration) -> Result<Admitted, Short> {
+        let used = self.floor_used.total(now);
+        if now >= self.opens && used + tokens <= self.floor {
+            self.floor_used.add(now, tokens);
+            return Ok(Admitted { floor: tokens, pool: 0 });
+        }
+        self.wanted.add(now, tokens);
+        if now < self.until && self.spent + tokens <= self.ceiling {
+            self.spent += tokens;
+            return Ok(Admitted { floor: 0, pool: tokens });
+        }
+        let again = self.again(tokens, now);
+        if now < self.until && self.hungry {
+            Err(Short::Spent(again))
+        } else {
+            Err(Short::Asking(again))
+        }
+    }
+
+    /// Gives back tokens of a request that was never sent.
+    pub fn refund(&mut self, admitted: Admitted) {
+        // Only the pool takes tokens back: a floor's window has no way to forget the right part.
+        self.spent = self.spent.saturating_sub(admitted.pool);
+    }
+
+    /// Takes a new ceiling that answers a report sent at a time.
+    ///
+    /// `hungry` says that the pool could not give what was wanted.
+    pub fn grant(&mut self, fence: Fence, ceiling: Tokens, hungry: bool, sent: Duration) {
+        if fence < self.fence {
+            return;
+        }
+        self.fence = fence;
+        self.ceiling = ceiling;
+        self.hungry = hungry;
+        self.until = sent + CEILING_TERM;
+    }
+
+    /// Returns what the holder of the pool is told.
+    pub fn report(&mut self, now: Duration) -> Spending {
+        Spending { spent: self.spent, wanted: self.wanted.total(now) }
+    }
+
+    fn again(&mut self, tokens: Tokens, now: Duration) -> Duration {
+        let bound = self.floor.saturating_sub(tokens);
+        let falls = self.floor_used.falls_to(bound, now).unwrap_or(RETRY_FLOOR);
+        falls.clamp(RETRY_FLOOR, RETRY_MOST)
+    }
+}
--- /dev/null
+++ b/crates/decide/src/process/placement/fleet.rs
@@ -0,0 +1,444 @@
+//! Plans which endpoint holds which model and adapter, for a demand that moves within seconds.
+//!
+//! The load pattern: few models take most requests, which ones changes every few seconds, and a
+//! load takes longer than a caller waits. So a model gets copies by the requests that run and wait
+//! for it now, on all VMs together, with room to spare; copies beyond that are only taken away to
+//! make room for another model; and the last copy of a model stays while any other may go.
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use super::station::{Command, Resident};
+use crate::ids::{AdapterId, DomainId, EndpointId, ModelId};
+use crate::map::{FastMap, FastSet};
+use crate::process::window::Window;
+use crate::version::fleet::FleetEngine;
+
+/// The part of an endpoint's slots that one model's requests are meant to take there.
+const FILL: f64 = 0.3;
+/// From this many requests at once a model gets a copy in each failure domain.
+const SPREAD_FROM: f64 = 4.0;
+/// How long a model must be silent before its last copy may go.
+const SILENT: Duration = Duration::from_secs(8);
+/// How long an adapter must be unused before it makes way.
+const UNUSED: Duration = Duration::from_millis(700);
+/// Loads from the weight store that are kept back in each window for late ones.
+const KEPT_BACK: f64 = 1.0;
+/// Loads that the bound allows besides its rate.
+const BESIDES: f64 = 3.0;
+/// The time over which demand is smoothed.
+const SMOOTH: f64 = 0.8;
+
+/// The bound on loads from the weight store.
+#[derive(Debug, Clone)]
+pub struct Intake {
+    begun: Window,
+    span: Duration,
+    excess: f64,
+    bound: f64,
+}
+
+impl Intake {
+    /// Makes the bound of a window.
+    ///
+    /// ```
+    /// use bamboocourse_decide::Intake;
+    /// use std::time::Duration;
+    /// let mut intake = Intake::new(Duration::from_secs(5), 1.0);
+    /// intake.set_rate(2.0);
+    /// assert!(intake.take(Duration::ZERO));
+    /// ```
+    pub fn new(span: Duration, excess: f64) -> Self {
+        Self { begun: Window::new(span), span, excess, bound: 0.0 }
+    }
+
+    /// Sets the loads that the weight store allows each second.
+    pub fn set_rate(&mut self, rate: f64) {
+        self.bound = rate * self.span.as_secs_f64() * self.excess + BESIDES - KEPT_BACK;
+    }
+
+    /// Counts a load that begins, if the bound allows it.
+    pub fn take(&mut self, now: Duration) -> bool {
+        if self.begun.total(now) as f64 + 1.0 > self.bound {
+            return false;
+        }
+        self.begun.add(now, 1);
+        true
+    }
+
+    /// Tells whether the bound allows another load.
+    pub fn open(&mut self, now: Duration) -> bool {
+        self.begun.total(now) as f64 + 1.0 <= self.bound
+    }
+}
+
+/// An endpoint as the planner sees it.
+#[derive(Debug, Clone)]
+pub struct Site {
+    /// Its name.
+    pub name: EndpointId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// What it holds.
+    pub resident: Resident,
+    /// The model that is being loaded.
+    pub loading: Option<ModelId>,
+    /// Models that late orders may still load.
+    pub late: Vec<ModelId>,
+    /// Models that load without the weight store.
+    pub near: FastSet<ModelId>,
+    /// Whether an order may be given now.
+    pub idle: bool,
+}
+
+/// A planned order.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Move {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The order.
+    pub command: Command,
+    /// How long it is expected to take.
+    pub takes: Duration,
+    /// Why, for the log.
+    pub why: SmolStr,
+}
+
+/// The demand for one model.
+#[derive(Debug, Clone, Default)]
+struct Demand {
+    /// Requests that run or wait, smoothed.
+    level: f64,
+    /// Requests that wait because no endpoint holds it.
+    waiting: f64,
+    last: Option<Duration>,
+}
+
+/// The planner of one service's endpoints.
+#[derive(Debug, Default)]
+pub struct FleetPlanner {
+    demand: FastMap<ModelId, Demand>,
+    adapters: FastMap<(ModelId, AdapterId), Duration>,
+    missing: FastMap<(ModelId, AdapterId), Duration>,
+    updated: Duration,
+}
+
+impl FleetPlanner {
+    /// Takes in the requests that run and wait for each model, on all VMs together.
+    ///
+    /// ```
+    /// use bamboocourse_decide::FleetPlanner;
+    /// use std::time::Duration;
+    /// let mut planner = FleetPlanner::default();
+    /// planner.on_demand([("m".into(), 3.0, 1.0)], Duration::from_secs(1));
+    /// ```
+    pub fn on_demand(
+        &mut self,
+        demand: impl IntoIterator<Item = (ModelId, f64, f64)>,
+        now: Duration,
+    ) {
+        let passed = now.saturating_sub(self.updated).as_secs_f64();
+        self.updated = now;
+        let keep = (-passed / SMOOTH).exp();
+        let mut seen: FastSet<ModelId> = FastSet::default();
+        for (model, open, waiting) in demand {
+            let entry = self.demand.entry(model.clone()).or_default();
+            let level = open + waiting;
+            // A rise counts at once, a fall only slowly.
+            entry.level = level.max(entry.level * keep + level * (1.0 - keep));
+            entry.waiting = waiting;
+            if level > 0.0 {
+                entry.last = Some(now);
+            }
+            seen.insert(model);
+        }
+        for (model, entry) in &mut self.demand {
+            if !seen.contains(model) {
+                entry.level *= keep;
+                entry.waiting = 0.0;
+            }
+        }
+    }
+
+    /// Notes that an adapter was asked for, and whether no endpoint held it.
+    pub fn on_adapter(&mut self, model: ModelId, adapter: AdapterId, missing: bool, now: Duration) {
+        let key = (model, adapter);
+        if missing {
+            self.missing.insert(key.clone(), now);
+        }
+        self.adapters.insert(key, now);
+    }
+
+    /// Returns the orders to give now, at most one for each endpoint.
+    pub fn plan(
+        &mut self,
+        engine: &FleetEngine,
+        sites: &mut [Site],
+        intake: &mut Intake,
+        now: Duration,
+    ) -> Vec<Move> {
+        let mut moves = Vec::new();
+        self.plan_adapters(engine, sites, now, &mut moves);
+        self.plan_models(engine, sites, intake, now, &mut moves);
+        moves
+    }
+
+    fn plan_models(
+        &self,
+        engine: &FleetEngine,
+        sites: &mut [Site],
+        intake: &mut Intake,
+        now: Duration,
+        moves: &mut Vec<Move>,
+    ) {
+        let mut copies = count_copies(sites);
+        let domains: FastSet<&DomainId> = sites.iter().map(|site| &site.domain).collect();
+        let domains = domains.len();
+        let mut short: Vec<(f64, ModelId)> = Vec::new();
+        for model in engine.models.keys() {
+            let held = copies.get(model).copied().unwrap_or(0);
+            let wanted = self.wanted(model, engine, domains, sites.len());
+            if held < wanted {
+                let level = self.demand.get(model).map_or(0.0, |demand| demand.level);
+                let urgency = if held == 0 { 1e6 } else { 0.0 };
+                let gap = (wanted - held) as f64 / wanted as f64;
+                let rank = if level > 0.0 { urgency + level * gap } else { 0.0 };
+                short.push((rank, model.clone()));
+            }
+        }
+        short.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+        let loading = sites.iter().filter(|site| site.loading.is_some()).count();
+        let mut running = loading;
+        for (_, model) in short {
+            let spec = &engine.models[&model];
+            let most = (engine.loads * spec.load.as_secs_f64()).ceil().max(1.0) as usize;
+            if running >= most {
+                break;
+            }
+            let Some((index, victim)) =
+                self.choose_site(&model, engine, sites, &copies, domains, intake, now)
+            else {
+                continue;
+            };
+            let near = sites[index].near.contains(&model);
+            let (command, takes) = match victim {
+                Some(victim) => {
+                    *copies.entry(victim.clone()).or_default() -= 1;
+                    (Command::Unload(victim), Duration::from_secs(1))
+                }
+                None => {
+                    if !near {
+                        intake.take(now);
+                    }
+                    running += 1;
+                    *copies.entry(model.clone()).or_default() += 1;
+                    let takes = if near { spec.disk } else { spec.load };
+                    (Command::Load(model.clone()), takes)
+                }
+            };
+            let site = &mut sites[index];
+            site.idle = false;
+            let why = SmolStr::new(format!(
+                "{model} has {} copies",
+                copies.get(&model).copied().unwrap_or(0)
+            ));
+            moves.push(Move { endpoint: site.name.clone(), command, takes, why });
+        }
+    }
+
+    /// Returns how many copies a model should have.
+    fn wanted(&self, model: &ModelId, engine: &FleetEngine, domains: usize, sites: usize) -> usize {
+        let Some(demand) = self.demand.get(model) else { return 1 };
+        let fit = f64::from(engine.slots.max(1)) * FILL;
+        let wanted = (demand.level / fit).ceil().max(1.0) as usize;
+        let spread = if demand.level >= SPREAD_FROM { domains } else { 1 };
+        wanted.max(spread).min(sites.max(1))
+    }
+
+    /// Picks the endpoint for one more copy, and the model that must go first, if one must.
+    fn choose_site(
+        &self,
+        model: &ModelId,
+        engine: &FleetEngine,
+        sites: &[Site],
+        copies: &FastMap<ModelId, usize>,
+        domains: usize,
+        intake: &mut Intake,
+        now: Duration,
+    ) -> Option<(usize, Option<ModelId>)> {
+        let spec = engine.models.get(model)?;
+        let store = intake.open(now);
+        let mut held: FastMap<&DomainId, usize> = FastMap::default();
+        for site in sites.iter().filter(|site| site.holds(model)) {
+            *held.entry(&site.domain).or_default() += 1;
+        }
+        let mut best: Option<(f64, usize, Option<ModelId>)> = None;
+        for (index, site) in sites.iter().enumerate() {
+            if !site.idle || site.holds(model) || site.late.contains(model) {
+                continue;
+            }
+            if !store && !site.near.contains(model) {
+                continue;
+            }
+            let free = engine.memory - site.charged(engine);
+            let mut cost = self.load_of(site, engine, copies);
+            cost += held.get(&site.domain).copied().unwrap_or(0) as f64 * 0.5;
+            if !site.near.contains(model) {
+                cost += 1.0;
+            }
+            if free >= spec.memory {
+                if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                    best = Some((cost, index, None));
+                }
+                continue;
+            }
+            let victim = self.victim(model, site, engine, copies, domains, sites.len(), now);
+            let Some((worth, victim)) = victim else { continue };
+            let gone = engine.models.get(&victim).map_or(0.0, |spec| spec.memory);
+            if free + gone < spec.memory {
+                continue;
+            }
+            cost += 0.3 + worth;
+            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                best = Some((cost, index, Some(victim)));
+            }
+        }
+        best.map(|(_, index, victim)| (index, victim))
+    }
+
+    /// Picks the model of a site that is missed least.
+    fn victim(
+        &self,
+        model: &ModelId,
+        site: &Site,
+        engine: &FleetEngine,
+        copies: &FastMap<ModelId, usize>,
+        domains: usize,
+        sites: usize,
+        now: Duration,
+    ) -> Option<(f64, ModelId)> {
+        let asked = self.demand.get(model).is_some_and(|demand| demand.level > 0.0);
+        let mut best: Option<(f64, ModelId)> = None;
+        for other in site.resident.keys() {
+            let held = copies.get(other).copied().unwrap_or(0);
+            let demand = self.demand.get(other);
+            let level = demand.map_or(0.0, |demand| demand.level);
+            let spare = held > self.wanted(other, engine, domains, sites);
+            let silent =
+                demand.and_then(|demand| demand.last).is_none_or(|last| now >= last + SILENT);
+            if !spare && !(asked && silent && held <= 1) {
+                continue;
+            }
+            let last = if held <= 1 { 2.0 } else { 0.0 };
+            let worth = level / held.max(1) as f64 / f64::from(engine.slots.max(1)) + last;
+            if best.as_ref().is_none_or(|(least, _)| worth < *least) {
+                best = Some((worth, other.clone()));
+            }
+        }
+        best
+    }
+
+    /// Estimates how full a site's models make it, in parts of its slots.
+    fn load_of(&self, site: &Site, engine: &FleetEngine, copies: &FastMap<ModelId, usize>) -> f64 {
+        let models = site.resident.keys().chain(&site.loading);
+        let levels = models.map(|model| {
+            let level = self.demand.get(model).map_or(0.0, |demand| demand.level);
+            level / copies.get(model).copied().unwrap_or(1).max(1) as f64
+        });
+        levels.sum::<f64>() / f64::from(engine.slots.max(1))
+    }
+
+    fn plan_adapters(
+        &mut self,
+        engine: &FleetEngine,
+        sites: &mut [Site],
+        now: Duration,
+        moves: &mut Vec<Move>,
+    ) {
+        let mut missing: Vec<(Duration, (ModelId, AdapterId))> =
+            self.missing.iter().map(|(key, at)| (*at, key.clone())).collect();
+        missing.sort();
+        for (at, key) in missing {
+            let (model, adapter) = &key;
+            let held = |site: &Site| {
+                site.resident.get(model).is_some_and(|adapters| adapters.contains(adapter))
+            };
+            if now > at + Duration::from_secs(2) || sites.iter().any(held) {
+                self.missing.remove(&key);
+                continue;
+            }
+            let copies = count_copies(sites);
+            let mut best: Option<(f64, usize, Option<(ModelId, AdapterId)>)> = None;
+            for (index, site) in sites.iter().enumerate() {
+                if !site.idle || !site.resident.contains_key(model) {
+                    continue;
+                }
+                let count: usize = site.resident.values().map(FastSet::len).sum();
+                let mut cost = self.load_of(site, engine, &copies);
+                let mut victim = None;
+                if count >= engine.adapters as usize {
+                    let Some((idle, unused)) = self.unused(site, now) else { continue };
+                    cost += 1.0 - idle.as_secs_f64().min(30.0) / 60.0;
+                    victim = Some(unused);
+                }
+                if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                    best = Some((cost, index, victim));
+                }
+            }
+            let Some((_, index, victim)) = best else { continue };
+            let site = &mut sites[index];
+            site.idle = false;
+            let command = match victim {
+                Some((model, adapter)) => Command::Release(model, adapter),
+                None => Command::Fetch(model.clone(), adapter.clone()),
+            };
+            let why = SmolStr::new(format!("{model}/{adapter} is asked for"));
+            let takes = Duration::from_millis(10);
+            moves.push(Move { endpoint: site.name.clone(), command, takes, why });
+        }
+    }
+
+    /// Returns the adapter of a site that was asked for the longest ago, if long enough.
+    fn unused(&self, site: &Site, now: Duration) -> Option<(Duration, (ModelId, AdapterId))> {
+        let mut oldest: Option<(Duration, (ModelId, AdapterId))> = None;
+        for (model, adapters) in &site.resident {
+            for adapter in adapters {
+                let key = (model.clone(), adapter.clone());
+                let last = self.adapters.get(&key).copied().unwrap_or_default();
+                let idle = now.saturating_sub(last);
+                if idle < UNUSED {
+                    continue;
+                }
+                if oldest.as_ref().is_none_or(|(most, other)| (idle, &key) > (*most, other)) {
+                    oldest = Some((idle, key));
+                }
+            }
+        }
+        oldest
+    }
+}
+
+fn count_copies(sites: &[Site]) -> FastMap<ModelId, usize> {
+    let mut copies: FastMap<ModelId, usize> = FastMap::default();
+    for site in sites {
+        for model in site.resident.keys().chain(&site.loading) {
+            *copies.entry(model.clone()).or_default() += 1;
+        }
+    }
+    copies
+}
+
+impl Site {
+    fn holds(&self, model: &ModelId) -> bool {
+        self.resident.contains_key(model) || self.loading.as_ref() == Some(model)
+    }
+
+    /// Returns the memory that is taken, or may be taken by late orders, adapters at their most.
+    fn charged(&self, engine: &FleetEngine) -> f64 {
+        let size = |model: &ModelId| engine.models.get(model).map_or(0.0, |spec| spec.memory);
+        let models = self.resident.keys().chain(&self.loading).chain(&self.late);
+        let largest = engine.models.values().map(|spec| spec.adapter).fold(0.0, f64::max);
+        models.map(size).sum::<f64>() + largest * f64::from(engine.adapters)
+    }
+}
--- a/crates/decide/src/process/placement/lease.rs
+++ b/crates/decide/src/process/placement/lease.rs
@@ -23,6 +23,21 @@
 /// How often the holder renews.
 pub const LEASE_EVERY: Duration = Duration::from_secs(3);
 
+/// How long a lease lasts and how much longer a challenger waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Terms {
+    /// How long a renewal lasts on the holder's clock.
+    pub term: Duration,
+    /// How much longer a challenger waits.
+    pub margin: Duration,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self { term: LEASE_TERM, margin: LEASE_MARGIN }
+    }
+}
+
 /// The row of a lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
@@ -73,7 +88,12 @@
     /// assert_eq!(lease.held(Duration::ZERO), None);
     /// ```
     pub fn new(vm: VmId, life: Incarnation) -> Self {
-        let holder = Holder { vm, life, seen: None, until: Duration::ZERO, sent: None };
+        Self::with_terms(vm, life, Terms::default())
+    }
+
+    /// Makes a lease of other terms.
+    pub fn with_terms(vm: VmId, life: Incarnation, terms: Terms) -> Self {
+        let holder = Holder { vm, life, terms, seen: None, until: Duration::ZERO, sent: None };
         Self { machine: holder.state_machine() }
     }
 
@@ -107,6 +127,7 @@
 pub(crate) struct Holder {
     vm: VmId,
     life: Incarnation,
+    terms: Terms,
     seen: Option<Seen>,
     until: Duration,
     sent: Option<Sent>,
@@ -204,7 +225,7 @@
         }
         let vacant = seen.row.holder.is_empty();
         let restarted = seen.row.holder == self.vm && seen.row.life < self.life;
-        let lapsed = now >= seen.changed + LEASE_TERM + LEASE_MARGIN;
+        let lapsed = now >= seen.changed + self.terms.term + self.terms.margin;
         (vacant || restarted || lapsed).then_some(seen.row.fence + 1)
     }
 
@@ -225,7 +246,7 @@
     fn settle(&mut self, outcome: Outcome) -> Option<Fence> {
         let sent = self.sent.take()?;
         let Outcome::Committed(_) = outcome else { return None };
-        self.until = sent.at + LEASE_TERM;
+        self.until = sent.at + self.terms.term;
         Some(sent.fence)
     }
 
--- /dev/null
+++ b/crates/decide/src/request/dispatch.rs
@@ -0,0 +1,433 @@
+//! Picks endpoints for requests, and holds those that must wait.
+//!
+//! An endpoint is scored by how full it is: its last reported load, which its answers carry, and
+//! what this VM has sent since. Endpoints of other domains, and those that failed lately, are worse
+//! by a fixed amount. A request waits when no endpoint that holds its model has room, most urgent
+//! first; the endpoints' own queues stay short, so that urgent requests are not stuck behind others.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::ids::{AdapterId, DomainId, EndpointId, ModelId, ServiceId};
+use crate::map::{FastMap, FastSet, hash_of};
+use crate::request::route::Load;
+
+/// What another domain's endpoint is worse by, in parts of its slots.
+const FAR: f64 = 0.15;
+/// What an endpoint that fails all requests is worse by, in parts of its slots.
+const FAILING: f64 = 2.0;
+/// How far equals are told apart by chance, lest VMs with the same view all pick one.
+const SPREAD: f64 = 0.04;
+/// How much better the endpoint is that has the caller's earlier prompts.
+const FAMILIAR: f64 = 0.05;
+/// How much of a service's slots an endpoint may have queued before requests wait here.
+const QUEUE_PART: f64 = 0.25;
+/// The weight of the newest result in an endpoint's rate of failures.
+const LEARNING: f64 = 0.15;
+/// Failures in a row after which an endpoint is left alone for a while.
+const STREAK: u32 = 3;
+/// How long it is left alone at first; twice as long each further time.
+const PAUSE: Duration = Duration::from_millis(400);
+/// The longest that it is left alone.
+const PAUSE_MOST: Duration = Duration::from_secs(3);
+/// A report of load is worth nothing after this time.
+const LOAD_AGE: Duration = Duration::from_secs(2);
+
+/// A number for a waiting request.
+pub type Turn = u64;
+
+/// A model, or an adapter of it, that an endpoint must hold.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Wanted {
+    /// The model.
+    pub model: ModelId,
+    /// The adapter, if one is asked for.
+    pub adapter: Option<AdapterId>,
+}
+
+/// What a request needs of an endpoint.
+#[derive(Debug, Clone)]
+pub struct Need {
+    /// The service.
+    pub service: ServiceId,
+    /// What must be resident, for services with models.
+    pub wanted: Option<Wanted>,
+    /// Its rank; 0 is the most urgent.
+    pub urgency: u8,
+    /// A hash of the prompt's shared part, 0 if there is none.
+    pub session: u64,
+    /// Endpoints that this request was already sent to.
+    pub tried: Vec<EndpointId>,
+}
+
+/// Why a request cannot be sent now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shortage {
+    /// The service has no endpoint.
+    NoEndpoint,
+    /// No endpoint holds the model.
+    NotResident,
+    /// Endpoints hold the model, but none of them its adapter.
+    NoAdapter,
+    /// All that hold it were tried by this request.
+    Tried,
+    /// All that hold it are full.
+    Full,
+}
+
+/// How a send ended, as far as it tells about the endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// A whole answer.
+    Good,
+    /// The endpoint said that it did not run the request.
+    Shed,
+    /// It failed, broke off, or was not heard of in time.
+    Failed,
+    /// It cannot be connected to, or another endpoint answers at its address.
+    Gone,
+    /// It ended for reasons that say nothing about the endpoint.
+    Neutral,
+}
+
+/// What the platform's list says of an endpoint.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listing {
+    /// The service.
+    pub service: ServiceId,
+    /// The failure domain.
+    pub domain: DomainId,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub ready: bool,
+    /// The start of its process, in Unix milliseconds.
+    pub born: u64,
+}
+
+/// The endpoints of all services and the requests that wait, as one VM sees them.
+#[derive(Debug)]
+pub struct Dispatcher {
+    domain: DomainId,
+    endpoints: FastMap<EndpointId, Endpoint>,
+    services: FastMap<ServiceId, Vec<EndpointId>>,
+    waiting: BTreeMap<(u8, Turn), Need>,
+}
+
+#[derive(Debug)]
+struct Endpoint {
+    listing: Listing,
+    resident: FastMap<ModelId, FastSet<AdapterId>>,
+    load: Load,
+    loaded: Duration,
+    /// This VM's requests there now.
+    open: u32,
+    /// This VM's sends since the last report of load.
+    since: u32,
+    failing: f64,
+    streak: u32,
+    pauses: u32,
+    paused: Duration,
+}
+
+impl Dispatcher {
+    /// Makes a dispatcher for a VM of a domain.
+    ///
+    /// ```
+    /// use bamboocourse_decide::Dispatcher;
+    /// assert_eq!(Dispatcher::new("konya-a".into()).waiting(), 0);
+    /// ```
+    pub fn new(domain: DomainId) -> Self {
+        Self {
+            domain,
+            endpoints: FastMap::default(),
+            services: FastMap::default(),
+            waiting: BTreeMap::new(),
+        }
+    }
+
+    /// Adds or updates an endpoint; a new start of it holds nothing.
+    pub fn list(&mut self, name: &EndpointId, listing: Listing) {
+        if let Some(endpoint) = self.endpoints.get_mut(name) {
+            if endpoint.listing.service == listing.service {
+                if endpoint.listing.born != listing.born {
+                    endpoint.resident.clear();
+                    endpoint.load = Load::default();
+                    endpoint.since = 0;
+                    endpoint.streak = 0;
+                    endpoint.paused = Duration::ZERO;
+                }
+                endpoint.listing = listing;
+                return;
+            }
+            self.drop_endpoint(name);
+        }
+        self.services.entry(listing.service.clone()).or_default().push(name.clone());
+        let endpoint = Endpoint {
+            listing,
+            resident: FastMap::default(),
+            load: Load::default(),
+            loaded: Duration::ZERO,
+            open: 0,
+            since: 0,
+            failing: 0.0,
+            streak: 0,
+            pauses: 0,
+            paused: Duration::ZERO,
+        };
+        self.endpoints.insert(name.clone(), endpoint);
+    }
+
+    /// Forgets an endpoint.
+    pub fn drop_endpoint(&mut self, name: &EndpointId) {
+        let Some(endpoint) = self.endpoints.remove(name) else { return };
+        if let Some(names) = self.services.get_mut(&endpoint.listing.service) {
+            names.retain(|other| other != name);
+        }
+    }
+
+    /// Sets what an endpoint holds.
+    pub fn set_resident(
+        &mut self,
+        name: &EndpointId,
+        resident: FastMap<ModelId, FastSet<AdapterId>>,
+    ) {
+        if let Some(endpoint) = self.endpoints.get_mut(name) {
+            endpoint.resident = resident;
+        }
+    }
+
+    /// Returns the start of an endpoint's process, if it is listed.
+    pub fn born(&self, name: &EndpointId) -> Option<u64> {
+        self.endpoints.get(name).map(|endpoint| endpoint.listing.born)
+    }
+
+    /// Returns how many endpoints take work.
+    pub fn ready(&self) -> usize {
+        self.endpoints.values().filter(|endpoint| endpoint.listing.ready).count()
+    }
+
+    /// Takes in a load that an answer carried.
+    pub fn on_load(&mut self, name: &EndpointId, load: Load, now: Duration) {
+        if let Some(endpoint) = self.endpoints.get_mut(name) {
+            endpoint.load = load;
+            endpoint.loaded = now;
+            endpoint.since = 0;
+        }
+    }
+
+    /// Notes that an endpoint says it lacks what was asked of it.
+    pub fn on_lacking(&mut self, name: &EndpointId, wanted: &Wanted) {
+        let Some(endpoint) = self.endpoints.get_mut(name) else { return };
+        match &wanted.adapter {
+            Some(adapter) => {
+                if let Some(adapters) = endpoint.resident.get_mut(&wanted.model) {
+                    adapters.remove(adapter);
+                }
+            }
+            None => {
+                endpoint.resident.remove(&wanted.model);
+            }
+        }
+    }
+
+    /// Picks an endpoint and counts the request there; [`finish`](Self::finish) ends it.
+    pub fn pick(&mut self, need: &Need, turn: Turn, now: Duration) -> Result<EndpointId, Shortage> {
+        let Some(names) = self.services.get(&need.service) else {
+            return Err(Shortage::NoEndpoint);
+        };
+        let mut shortage = Shortage::NoEndpoint;
+        let mut best: Option<(f64, &EndpointId)> = None;
+        let mut paused: Option<(Duration, &EndpointId)> = None;
+        for name in names {
+            let endpoint = &self.endpoints[name];
+            if !endpoint.listing.ready {
+                continue;
+            }
+            shortage = match endpoint.lacks(need) {
+                Some(lack) => {
+                    shortage = shortage.worse(lack);
+                    continue;
+                }
+                None if need.tried.contains(name) => {
+                    shortage = shortage.worse(Shortage::Tried);
+                    continue;
+                }
+                None if endpoint.full(now) => {
+                    shortage = shortage.worse(Shortage::Full);
+                    continue;
+                }
+                None => shortage,
+            };
+            if now < endpoint.paused {
+                if paused.is_none_or(|(until, _)| endpoint.paused < until) {
+                    paused = Some((endpoint.paused, name));
+                }
+                continue;
+            }
+            let score = endpoint.score(name, need, &self.domain, turn, now);
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, name));
+            }
+        }
+        // Where all are paused, the one that comes back first is tried rather than none.
+        let Some(name) = best.map(|(_, name)| name).or(paused.map(|(_, name)| name)) else {
+            return Err(shortage);
+        };
+        let name = name.clone();
+        if let Some(endpoint) = self.endpoints.get_mut(&name) {
+            endpoint.open += 1;
+            endpoint.since += 1;
+        }
+        Ok(name)
+    }
+
+    /// Ends a request that was picked for an endpoint.
+    pub fn finish(&mut self, name: &EndpointId, ending: Ending, now: Duration) {
+        let Some(endpoint) = self.endpoints.get_mut(name) else { return };
+        endpoint.open = endpoint.open.saturating_sub(1);
+        match ending {
+            Ending::Good => {
+                endpoint.failing *= 1.0 - LEARNING;
+                endpoint.streak = 0;
+                endpoint.pauses = 0;
+            }
+            Ending::Shed => {
+                // Full for longer than its load says: as if its queue were full.
+                endpoint.load.waiting = endpoint.load.waiting.max(endpoint.listing.slots);
+                endpoint.loaded = now;
+            }
+            Ending::Failed => {
+                endpoint.failing += LEARNING * (1.0 - endpoint.failing);
+                endpoint.streak += 1;
+                if endpoint.streak >= STREAK {
+                    endpoint.pause(now);
+                }
+            }
+            Ending::Gone => {
+                endpoint.failing += LEARNING * (1.0 - endpoint.failing);
+                endpoint.pause(now);
+            }
+            Ending::Neutral => {}
+        }
+    }
+
+    /// Adds a request that waits.
+    pub fn wait(&mut self, turn: Turn, need: Need) {
+        self.waiting.insert((need.urgency, turn), need);
+    }
+
+    /// Forgets a request that waited; returns whether it still did.
+    pub fn leave(&mut self, turn: Turn, urgency: u8) -> bool {
+        self.waiting.remove(&(urgency, turn)).is_some()
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Picks endpoints for requests that wait, most urgent first, as long as there is room.
+    pub fn pump(&mut self, now: Duration) -> Vec<(Turn, EndpointId, Need)> {
+        let mut placed = Vec::new();
+        let mut stuck: FastSet<(ServiceId, Option<Wanted>)> = FastSet::default();
+        let mut removed = Vec::new();
+        let waiting = std::mem::take(&mut self.waiting);
+        for ((urgency, turn), need) in &waiting {
+            let lane = (need.service.clone(), need.wanted.clone());
+            if stuck.contains(&lane) {
+                continue;
+            }
+            match self.pick(need, *turn, now) {
+                Ok(name) => {
+                    placed.push((*turn, name, need.clone()));
+                    removed.push((*urgency, *turn));
+                }
+                Err(Shortage::Tried) => {}
+                Err(_) => {
+                    stuck.insert(lane);
+                }
+            }
+        }
+        self.waiting = waiting;
+        for key in removed {
+            self.waiting.remove(&key);
+        }
+        placed
+    }
+
+    /// Returns how many requests wait for each model or adapter.
+    pub fn pressure(&self) -> FastMap<(ServiceId, Wanted), u32> {
+        let mut waits: FastMap<(ServiceId, Wanted), u32> = FastMap::default();
+        for need in self.waiting.values() {
+            if let Some(wanted) = &need.wanted {
+                *waits.entry((need.service.clone(), wanted.clone())).or_default() += 1;
+            }
+        }
+        waits
+    }
+}
+
+impl Shortage {
+    /// Returns the shortage that says more about when there will be room.
+    fn worse(self, other: Shortage) -> Shortage {
+        let rank = |shortage: Shortage| match shortage {
+            Shortage::NoEndpoint => 0,
+            Shortage::NotResident => 1,
+            Shortage::NoAdapter => 2,
+            Shortage::Tried => 3,
+            Shortage::Full => 4,
+        };
+        if rank(other) > rank(self) { other } else { self }
+    }
+}
+
+impl Endpoint {
+    fn lacks(&self, need: &Need) -> Option<Shortage> {
+        let wanted = need.wanted.as_ref()?;
+        let Some(adapters) = self.resident.get(&wanted.model) else {
+            return Some(Shortage::NotResident);
+        };
+        let adapter = wanted.adapter.as_ref()?;
+        (!adapters.contains(adapter)).then_some(Shortage::NoAdapter)
+    }
+
+    /// Estimates how many requests run and wait there.
+    fn depth(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.loaded).as_secs_f64() / LOAD_AGE.as_secs_f64();
+        let fresh = (1.0 - age).max(0.0);
+        let reported = f64::from(self.load.running + self.load.waiting) * fresh;
+        (reported + f64::from(self.since.min(self.open))).max(f64::from(self.open))
+    }
+
+    fn full(&self, now: Duration) -> bool {
+        let slots = f64::from(self.listing.slots);
+        self.depth(now) >= slots + (slots * QUEUE_PART).max(1.0)
+    }
+
+    fn score(
+        &self,
+        name: &EndpointId,
+        need: &Need,
+        domain: &DomainId,
+        turn: Turn,
+        now: Duration,
+    ) -> f64 {
+        let slots = f64::from(self.listing.slots.max(1));
+        let mut score = (self.depth(now) + 1.0) / slots + self.failing * FAILING;
+        if self.listing.domain != *domain {
+            score += FAR;
+        }
+        score += SPREAD * (hash_of(&(turn, name)) % 1_000) as f64 / 1_000.0;
+        if need.session != 0 {
+            score += FAMILIAR * (hash_of(&(need.session, name)) % 1_000) as f64 / 1_000.0;
+        }
+        score
+    }
+
+    fn pause(&mut self, now: Duration) {
+        let pause = PAUSE * 2u32.saturating_pow(self.pauses.min(6));
+        self.pauses += 1;
+        self.paused = now + pause.min(PAUSE_MOST);
+    }
+}
--- a/crates/decide/src/request/mod.rs
+++ b/crates/decide/src/request/mod.rs
@@ -1,5 +1,7 @@
 //! What lives for one request: its route, its place in the queue, its record.
 
+pub(crate) mod budget;
+pub(crate) mod dispatch;
 pub(crate) mod fair;
 pub(crate) mod once;
 pub(crate) mod prefix;
--- /dev/null
+++ b/crates/entry/src/process/metrics.rs
@@ -0,0 +1,85 @@
+//! Counters and latency histograms, and their Prometheus form.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// The bounds of latency histograms, in seconds.
+const SECONDS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.63, 1.0, 2.5, 5.0, 12.0];
+
+/// The counters of one process.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    answers: Counter<u64>,
+    first: Histogram<f64>,
+    whole: Histogram<f64>,
+    pub(crate) repeats: Counter<u64>,
+    pub(crate) resumes: Counter<u64>,
+    pub(crate) orders: Counter<u64>,
+    pub(crate) store_calls: Counter<u64>,
+    pub(crate) store_errors: Counter<u64>,
+    pub(crate) leases: Counter<u64>,
+}
+
+impl Metrics {
+    /// Registers every counter.
+    pub(crate) fn new() -> Result<Self, opentelemetry_sdk::error::OTelSdkError> {
+        let registry = Registry::new();
+        let exporter =
+            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("bamboocourse");
+        Ok(Self {
+            answers: counter(&meter, "answers", "answers by route and kind"),
+            first: histogram(&meter, "first_seconds", "time to the answer's first bytes"),
+            whole: histogram(&meter, "whole_seconds", "time to the answer's end"),
+            repeats: counter(&meter, "repeats", "requests sent once more"),
+            resumes: counter(&meter, "resumes", "streams that another endpoint went on with"),
+            orders: counter(&meter, "orders", "orders to endpoints by outcome"),
+            store_calls: counter(&meter, "store_calls", "calls to the platform's store"),
+            store_errors: counter(&meter, "store_errors", "calls to the store that failed"),
+            leases: counter(&meter, "leases", "times that this VM took the fleet's lease"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts an answer by its outcome.
+    pub(crate) fn answer(&self, route: &str, kind: &'static str) {
+        let route = KeyValue::new("route", route.to_owned());
+        self.answers.add(1, &[route, KeyValue::new("kind", kind)]);
+    }
+
+    /// Records the time to the first bytes of an answer.
+    pub(crate) fn first(&self, time: Duration) {
+        self.first.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Records the time to the end of an answer.
+    pub(crate) fn whole(&self, time: Duration) {
+        self.whole.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Returns all of them as text.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!(error:% = error; "metrics cannot be written");
+        }
+        text
+    }
+}
+
+fn counter(meter: &Meter, name: &'static str, text: &'static str) -> Counter<u64> {
+    meter.u64_counter(name).with_description(text).build()
+}
+
+fn histogram(meter: &Meter, name: &'static str, text: &'static str) -> Histogram<f64> {
+    let builder = meter.f64_histogram(name).with_description(text);
+    builder.with_boundaries(SECONDS.to_vec()).build()
+}
--- /dev/null
+++ b/crates/entry/src/process/purse.rs
@@ -0,0 +1,192 @@
+//! The tokens that this VM may admit for each workspace, and its repeats to each service.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bamboocourse_decide::{
+    Admitted, FastMap, Fence, Fleet, FleetWorkspace, Limit, RepeatBudget, RepeatLimit, ServiceId,
+    Short, Spender, Tokens, WorkspaceId,
+};
+use tokio::sync::Notify;
+
+use crate::edge::clock::boot_now;
+use crate::process::settings::Bounds;
+use crate::wire::{Ceiling, Spend};
+
+/// What this VM may admit and repeat.
+#[derive(Debug)]
+pub(crate) struct Purse {
+    state: Mutex<State>,
+    bounds: Bounds,
+    /// From when floors may be used: a former process of this VM may have used its own until then.
+    opens: Duration,
+    /// Rung when a ceiling was raised.
+    pub(crate) granted: Notify,
+    /// Rung when a ceiling is too low.
+    pub(crate) short: Notify,
+}
+
+#[derive(Debug)]
+struct State {
+    spenders: FastMap<WorkspaceId, Spender>,
+    limits: FastMap<WorkspaceId, Limit>,
+    repeats: FastMap<ServiceId, RepeatBudget>,
+    floor: u64,
+    vms: usize,
+}
+
+/// VMs that share a service's repeats, until the holder of the lease has said how many there are.
+const VMS_UNKNOWN: usize = 12;
+
+/// Returns the limit of a workspace, if it has one.
+pub(crate) fn limit_of(workspace: &FleetWorkspace, bounds: &Bounds) -> Option<Limit> {
+    (workspace.rate > 0.0).then_some(Limit {
+        rate: workspace.rate,
+        burst: workspace.burst,
+        window: bounds.quota_window,
+        excess: bounds.quota_excess,
+        slack: bounds.quota_slack,
+    })
+}
+
+impl Purse {
+    pub(crate) fn new(bounds: Bounds, first: bool) -> Self {
+        let opens = if first { Duration::ZERO } else { boot_now() + bounds.quota_window };
+        let state = State {
+            spenders: FastMap::default(),
+            limits: FastMap::default(),
+            repeats: FastMap::default(),
+            floor: 0,
+            vms: VMS_UNKNOWN,
+        };
+        Self {
+            state: Mutex::new(state),
+            bounds,
+            opens,
+            granted: Notify::new(),
+            short: Notify::new(),
+        }
+    }
+
+    /// Sets the limits of a configuration.
+    pub(crate) fn apply(&self, fleet: &Fleet) {
+        let mut state = self.state();
+        let limits: FastMap<WorkspaceId, Limit> = fleet
+            .workspaces
+            .iter()
+            .filter_map(|one| Some((one.name.clone(), limit_of(one, &self.bounds)?)))
+            .collect();
+        state.spenders.retain(|name, _| limits.contains_key(name));
+        let floor = state.floor;
+        for (name, limit) in &limits {
+            match state.spenders.get_mut(name) {
+                Some(spender) => spender.set_limit(*limit, floor),
+                None => {
+                    state.spenders.insert(name.clone(), Spender::new(*limit, floor, self.opens));
+                }
+            }
+        }
+        state.limits = limits;
+    }
+
+    /// Admits a request's tokens, waiting a little for a higher ceiling.
+    pub(crate) async fn admit(
+        &self,
+        workspace: &WorkspaceId,
+        tokens: Tokens,
+        patience: Duration,
+    ) -> Result<Admitted, Duration> {
+        let until = tokio::time::Instant::now() + patience;
+        loop {
+            let granted = self.granted.notified();
+            let short = {
+                let mut state = self.state();
+                let Some(spender) = state.spenders.get_mut(workspace) else {
+                    return Ok(Admitted { floor: 0, pool: 0 });
+                };
+                match spender.admit(tokens, boot_now()) {
+                    Ok(admitted) => return Ok(admitted),
+                    Err(short) => short,
+                }
+            };
+            let after = match short {
+                Short::Spent(after) => return Err(after),
+                Short::Asking(after) => after,
+            };
+            self.short.notify_one();
+            if tokio::time::timeout_at(until, granted).await.is_err() {
+                return Err(after);
+            }
+        }
+    }
+
+    /// Gives back the tokens of a request that was never sent.
+    pub(crate) fn refund(&self, workspace: &WorkspaceId, admitted: Admitted) {
+        if let Some(spender) = self.state().spenders.get_mut(workspace) {
+            spender.refund(admitted);
+        }
+    }
+
+    /// Takes in new ceilings that answer a report sent at a time.
+    pub(crate) fn on_ceilings(&self, fence: Fence, ceilings: &[Ceiling], sent: Duration) {
+        let mut state = self.state();
+        for ceiling in ceilings {
+            if let Some(spender) = state.spenders.get_mut(ceiling.workspace.as_str()) {
+                spender.grant(fence, ceiling.tokens, ceiling.hungry, sent);
+            }
+        }
+        drop(state);
+        self.granted.notify_waiters();
+    }
+
+    /// Sets this VM's weight of all floors and the number of VMs.
+    pub(crate) fn set_share(&self, floor: u64, vms: usize) {
+        let mut state = self.state();
+        state.vms = vms;
+        if state.floor == floor {
+            return;
+        }
+        state.floor = floor;
+        let State { spenders, limits, .. } = &mut *state;
+        for (name, spender) in spenders {
+            if let Some(limit) = limits.get(name) {
+                spender.set_limit(*limit, floor);
+            }
+        }
+    }
+
+    /// Returns what the holder of the pools is told.
+    pub(crate) fn spends(&self) -> Vec<Spend> {
+        let now = boot_now();
+        let mut state = self.state();
+        let spends = state.spenders.iter_mut().map(|(name, spender)| {
+            let said = spender.report(now);
+            Spend { workspace: name.to_string(), spent: said.spent, wanted: said.wanted }
+        });
+        spends.collect()
+    }
+
+    /// Counts a first send to a service.
+    pub(crate) fn on_request(&self, service: &ServiceId) {
+        let limit = self.bounds.repeats;
+        self.state().budget(service, limit).on_request(boot_now());
+    }
+
+    /// Takes one repeat to a service out of the budget.
+    pub(crate) fn take_repeat(&self, service: &ServiceId) -> bool {
+        let limit = self.bounds.repeats;
+        let mut state = self.state();
+        let vms = state.vms;
+        state.budget(service, limit).take(vms, boot_now())
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn budget(&mut self, service: &ServiceId, limit: RepeatLimit) -> &mut RepeatBudget {
+        self.repeats.entry(service.clone()).or_insert_with(|| RepeatBudget::new(limit))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/process/vm.rs
@@ -0,0 +1,179 @@
+//! One entry VM: puts the parts together, and takes it out of service.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use log::{info, warn};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::connection::callers::{Callers, Open, Phase};
+use crate::connection::side::{self, Readiness, Side};
+use crate::edge::clock::unix_millis;
+use crate::edge::pool::Pool;
+use crate::edge::{Protocol, Store};
+use crate::process::board::Board;
+use crate::process::desk::Desk;
+use crate::process::follow::{self, Sink};
+use crate::process::lead::{Event, Handles, Lead};
+use crate::process::link::{self, Link};
+use crate::process::listing::Listing;
+use crate::process::metrics::Metrics;
+use crate::process::purse::Purse;
+use crate::process::settings::EntrySettings;
+use crate::request::Pipeline;
+
+/// How long a leaving VM still takes what comes on open connections.
+///
+/// The balancer takes a VM out after two missed questions, one a second.
+const LEAVING: Duration = Duration::from_millis(2_600);
+/// The time left of the grace at which the process ends whatever runs.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// How often a leaving process looks whether all is done.
+const LOOK: Duration = Duration::from_millis(100);
+/// How often requests that wait and idle connections are looked after.
+const CARE: Duration = Duration::from_millis(250);
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// A running entry VM.
+pub struct EntryProcess {
+    settings: Arc<EntrySettings>,
+    phase: watch::Sender<Phase>,
+    open: Arc<Open>,
+    events: mpsc::UnboundedSender<Event>,
+    tasks: JoinSet<()>,
+    /// Where callers connect.
+    pub front: SocketAddr,
+}
+
+impl EntryProcess {
+    /// Binds the VM's addresses and starts its tasks on the current runtime.
+    pub fn start(
+        settings: EntrySettings,
+        store: Arc<dyn Store>,
+        protocol: Arc<dyn Protocol>,
+    ) -> std::io::Result<Self> {
+        let settings = Arc::new(settings);
+        let front = listen(settings.front)?;
+        let ready = listen(settings.ready)?;
+        let peer = listen(settings.peer)?;
+        let metrics_listener = settings.metrics.map(listen).transpose()?;
+        let life = unix_millis();
+        let metrics = Arc::new(Metrics::new().map_err(std::io::Error::other)?);
+        let pool = Pool::new(settings.local);
+        let (events, received) = mpsc::unbounded_channel();
+        let desk = Arc::new(Desk::new(settings.domain.clone()));
+        let purse = Arc::new(Purse::new(settings.bounds, settings.first));
+        let board = Arc::new(Board::new(protocol.clone(), purse.clone()));
+        let returns = settings.bounds.list_return;
+        let listing =
+            Arc::new(Listing::new(protocol.clone(), desk.clone(), events.clone(), returns));
+        let (phase, phases) = watch::channel(Phase::Serving);
+        let (leader, leaders) = watch::channel(None);
+        let open = Arc::new(Open::default());
+        let pipeline = Arc::new(Pipeline {
+            protocol: protocol.clone(),
+            board: board.clone(),
+            desk: desk.clone(),
+            purse: purse.clone(),
+            pool: pool.clone(),
+            metrics: metrics.clone(),
+        });
+        let readiness = Readiness {
+            path: protocol.ready_path(),
+            board: board.clone(),
+            desk: desk.clone(),
+            phase: phases.clone(),
+        };
+        let handles = Handles {
+            settings: settings.clone(),
+            store: store.clone(),
+            protocol,
+            pool: pool.clone(),
+            board: board.clone(),
+            listing: listing.clone(),
+            metrics: metrics.clone(),
+            leader,
+            events: events.clone(),
+        };
+        let link = Link {
+            settings: settings.clone(),
+            life,
+            board: board.clone(),
+            listing: listing.clone(),
+            desk: desk.clone(),
+            purse,
+            events: events.clone(),
+            leader: leaders,
+        };
+        let callers = Callers { pipeline, board: board.clone(), open: open.clone(), phase: phases };
+        let mut tasks = JoinSet::new();
+        let address = front.local_addr()?;
+        tasks.spawn(callers.accept(front));
+        tasks.spawn(side::accept(ready, Side::Ready(Arc::new(readiness))));
+        if let Some(listener) = metrics_listener {
+            tasks.spawn(side::accept(listener, Side::Metrics(metrics.clone())));
+        }
+        tasks.spawn(follow::follow(store.clone(), Sink::Board(board), metrics.clone()));
+        tasks.spawn(follow::follow(store, Sink::Listing(listing), metrics));
+        tasks.spawn(Lead::new(handles, life).run(received));
+        tasks.spawn(link::accept(peer, events.clone()));
+        tasks.spawn(link.run());
+        tasks.spawn(care(desk, pool));
+        info!(vm = settings.vm.as_str(), domain = settings.domain.as_str(), life,
+            front:% = address, first = settings.first; "an entry VM has started");
+        Ok(Self { settings, phase, open, events, tasks, front: address })
+    }
+
+    /// Takes the VM out of service: it becomes unready, finishes what runs and ends.
+    pub async fn leave(mut self) {
+        let end = Instant::now() + self.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
+        let close = Instant::now() + LEAVING;
+        info!(vm = self.settings.vm.as_str(), requests = self.requests(); "the VM is leaving");
+        self.phase.send_replace(Phase::Leaving);
+        // Only a process that is ending has no receiver.
+        let _ = self.events.send(Event::Leave);
+        tokio::time::sleep_until(close.min(end)).await;
+        self.phase.send_replace(Phase::Closing);
+        while Instant::now() < end && self.connections() > 0 {
+            tokio::time::sleep(LOOK).await;
+        }
+        if self.connections() > 0 {
+            warn!(vm = self.settings.vm.as_str(), requests = self.requests(),
+                connections = self.connections(); "the grace is over before all was done");
+        }
+        self.tasks.shutdown().await;
+        info!(vm = self.settings.vm.as_str(); "the VM has left");
+    }
+
+    fn requests(&self) -> usize {
+        self.open.requests.load(Ordering::Relaxed)
+    }
+
+    fn connections(&self) -> usize {
+        self.open.connections.load(Ordering::Relaxed)
+    }
+}
+
+/// Looks after what time alone changes.
+async fn care(desk: Arc<Desk>, pool: Pool) {
+    let mut ticks = tokio::time::interval(CARE);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        desk.pump();
+        pool.prune();
+    }
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
--- /dev/null
+++ b/crates/entry/src/request/mod.rs
@@ -0,0 +1,359 @@
+//! One request: admitted, placed, sent and answered.
+//!
+//! 1. The head is read, the route and the workspace are found, the body is read.
+//! 2. The workspace's tokens are admitted, or the caller is told when to come back.
+//! 3. A place at an endpoint is found, after a wait if that still meets what the caller waits for.
+//! 4. The request is sent; a failure is repeated elsewhere where the route's kind allows it.
+//! 5. The answer is passed on, whole or as a stream of events.
+
+mod place;
+mod relay;
+mod send;
+mod trace;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bamboocourse_decide::{
+    Admitted, Ending, Fleet, FleetRoute, FleetWorkspace, Kind, Need, Refusal, ServiceId,
+    WorkspaceId,
+};
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::edge::pool::{Pool, read_all};
+use crate::edge::{Call, Protocol};
+use crate::process::board::Board;
+use crate::process::desk::{Desk, Place};
+use crate::process::metrics::Metrics;
+use crate::process::purse::Purse;
+
+use self::relay::Relay;
+use self::send::{Answer, Sent};
+use self::trace::Trace;
+
+/// The body of an answer; an error breaks the connection.
+pub(crate) type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// How long before its deadline a caller gets its final answer.
+const ANSWER_MARGIN: Duration = Duration::from_millis(15);
+/// The largest whole answer of an endpoint, in bytes.
+const ANSWER_MOST: usize = 8 << 20;
+/// Sends that endpoints did not run, after which a request is given up.
+const SHED_MOST: u32 = 3;
+/// How long tokens are waited for.
+const TOKEN_WAIT: Duration = Duration::from_millis(250);
+/// When a caller may come back where nothing better is known.
+const COME_BACK: Duration = Duration::from_millis(500);
+/// The least time that callers of a stream wait for an event before they leave.
+const LEAVE_LEAST: Duration = Duration::from_secs(2);
+
+/// What the pipeline uses of the process.
+pub(crate) struct Pipeline {
+    pub(crate) protocol: Arc<dyn Protocol>,
+    pub(crate) board: Arc<Board>,
+    pub(crate) desk: Arc<Desk>,
+    pub(crate) purse: Arc<Purse>,
+    pub(crate) pool: Pool,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+/// A request that has been read and admitted.
+#[derive(Debug, Clone)]
+pub(crate) struct Job {
+    pub(crate) call: Call,
+    pub(crate) body: Bytes,
+    pub(crate) route: FleetRoute,
+    pub(crate) service: ServiceId,
+    pub(crate) workspace: Option<WorkspaceId>,
+    pub(crate) urgency: u8,
+    /// When the caller must have its final answer.
+    pub(crate) deadline: Instant,
+    /// When the caller leaves unless it has had something of the answer.
+    pub(crate) leaves: Instant,
+}
+
+impl Job {
+    fn need(&self) -> Need {
+        Need {
+            service: self.service.clone(),
+            wanted: self.call.wanted.clone(),
+            urgency: self.urgency,
+            session: self.call.session,
+            tried: Vec::new(),
+        }
+    }
+
+    /// Returns the time that is left.
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// How a request ended without an endpoint's answer.
+type Given = Result<Response<Body>, Refusal>;
+
+impl Pipeline {
+    /// Answers a request.
+    pub(crate) async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let arrived = Instant::now();
+        let (head, body) = request.into_parts();
+        let mut trace = Trace::new(self.metrics.clone(), arrived);
+        let call = match self.protocol.read_call(&head) {
+            Ok(call) => call,
+            Err(refusal) => return self.refuse(None, &refusal, trace),
+        };
+        trace.set_call(&call);
+        let id = call.id.clone();
+        let result = match self.accept(call, body, arrived, &mut trace).await {
+            Ok((job, admitted)) => self.run(job, admitted, &mut trace).await,
+            Err(refusal) => Err(refusal),
+        };
+        match result {
+            Ok(response) => {
+                // A stream's trace ends with its last event.
+                trace.hand_over();
+                response
+            }
+            Err(refusal) => self.refuse(Some(&id), &refusal, trace),
+        }
+    }
+
+    fn refuse(&self, id: Option<&str>, refusal: &Refusal, trace: Trace) -> Response<Body> {
+        trace.refused(refusal);
+        self.protocol.write_refusal(id, refusal).map(whole_body)
+    }
+
+    /// Finds the route and the workspace, reads the body and admits the tokens.
+    async fn accept(
+        &self,
+        call: Call,
+        body: Incoming,
+        arrived: Instant,
+        trace: &mut Trace,
+    ) -> Result<(Job, Option<(WorkspaceId, Admitted)>), Refusal> {
+        let Some(fleet) = self.board.fleet() else {
+            let refusal = Refusal::not_run(Kind::NotReady, "no configuration is known yet");
+            return Err(refusal.after(COME_BACK));
+        };
+        let path = call.target.path();
+        let Some(route) = fleet.route(&call.host, path) else {
+            let detail = format!("no route of version {} for {}{path}", fleet.version, call.host);
+            return Err(Refusal::not_run(Kind::RouteUnknown, detail));
+        };
+        trace.set_route(route, fleet.version);
+        let workspace = find_workspace(&fleet, route, &call)?;
+        let Some(service) = route.service(&call.id) else {
+            let refusal = Refusal::not_run(Kind::NoEndpoint, "the route has no service");
+            return Err(refusal.after(COME_BACK));
+        };
+        let wait = call.deadline.unwrap_or(route.timeout).min(route.timeout);
+        let deadline = arrived + wait.saturating_sub(ANSWER_MARGIN);
+        let leaves = if route.repeat.streams() {
+            arrived + LEAVE_LEAST.max(route.aim * 4).max(route.gap * 8)
+        } else {
+            deadline
+        };
+        let most = fleet.limits.body;
+        let body = read_body(body, most, deadline).await?;
+        let urgency = workspace.and_then(|one| one.urgency).unwrap_or(route.urgency);
+        let admitted = match workspace {
+            Some(workspace) if workspace.rate > 0.0 => {
+                let tokens = call.tokens.map_or(workspace.plain, |(read, write)| read + write);
+                let patience = TOKEN_WAIT.min(route.aim / 2);
+                let admitted = self.purse.admit(&workspace.name, tokens, patience).await;
+                let admitted = admitted.map_err(|after| {
+                    let detail = format!("{tokens} tokens are beyond {}'s limit", workspace.name);
+                    Refusal::not_run(Kind::RateExceeded, detail).after(after)
+                })?;
+                Some((workspace.name.clone(), admitted))
+            }
+            _ => None,
+        };
+        let job = Job {
+            body,
+            route: route.clone(),
+            service: service.clone(),
+            workspace: workspace.map(|workspace| workspace.name.clone()),
+            urgency,
+            deadline,
+            leaves: leaves.min(deadline),
+            call,
+        };
+        trace.set_job(&job);
+        Ok((job, admitted))
+    }
+
+    /// Sends a request until it is answered or given up.
+    async fn run(
+        self: &Arc<Self>,
+        job: Job,
+        admitted: Option<(WorkspaceId, Admitted)>,
+        trace: &mut Trace,
+    ) -> Given {
+        let mut need = job.need();
+        let mut sheds = 0;
+        let mut runs = 0;
+        // What the caller is told if nothing better comes: whether it may have run.
+        let mut failure: Option<Refusal> = None;
+        loop {
+            let place = match self.place(&job, &need, trace).await {
+                Ok(place) => place,
+                Err(refusal) => {
+                    if sheds + runs == 0
+                        && let Some((workspace, admitted)) = admitted
+                    {
+                        self.purse.refund(&workspace, admitted);
+                    }
+                    return Err(failure.unwrap_or(refusal));
+                }
+            };
+            if sheds + runs == 0 {
+                self.purse.on_request(&job.service);
+            } else if self.purse.take_repeat(&job.service) {
+                self.metrics.repeats.add(1, &[]);
+            } else {
+                let detail = "the budget for repeats is used up";
+                let refusal = Refusal::not_run(Kind::Overloaded, detail).after(COME_BACK);
+                return Err(failure.unwrap_or(refusal));
+            }
+            need.tried.push(place.name.clone());
+            trace.sent(&place.name);
+            let sent = self.send(&job, place, job.call.resumes, runs, trace).await;
+            let may_repeat = job.route.repeat.again() && runs + 1 < job.route.attempts;
+            match sent {
+                Sent::Answer(answer) => {
+                    match self.pass_on(&job, *answer, may_repeat, trace).await {
+                        Ok(response) => return Ok(response),
+                        Err(refusal) => {
+                            runs += 1;
+                            if !may_repeat {
+                                return Err(refusal);
+                            }
+                            failure = Some(refusal);
+                        }
+                    }
+                }
+                Sent::NotRun(refusal) => {
+                    sheds += 1;
+                    if sheds >= SHED_MOST {
+                        return Err(failure.unwrap_or(refusal));
+                    }
+                }
+                Sent::Unknown(refusal) => {
+                    runs += 1;
+                    if !may_repeat {
+                        return Err(refusal);
+                    }
+                    failure = Some(refusal);
+                }
+            }
+        }
+    }
+
+    /// Passes an endpoint's answer on; an error means that it did not come whole.
+    async fn pass_on(
+        self: &Arc<Self>,
+        job: &Job,
+        answer: Answer,
+        may_repeat: bool,
+        trace: &mut Trace,
+    ) -> Given {
+        let status = answer.head.status;
+        if status.is_success() && job.route.repeat.streams() {
+            let headers = self.protocol.passed_on(&answer.head.headers);
+            let relay = Relay::new(self.clone(), job.clone(), answer, trace.take());
+            return Ok(respond(status, headers, relay.into_body()));
+        }
+        let Answer { head, body, lent, idle, mut place } = answer;
+        let reading = tokio::time::timeout_at(job.deadline, read_all(body, ANSWER_MOST));
+        let bytes = match reading.await {
+            Ok(Ok(bytes)) => bytes,
+            Ok(Err(error)) => {
+                place.end(Ending::Failed);
+                let detail = format!("{} broke its answer off ({error:?})", place.name);
+                trace.note("answer broken off");
+                return Err(Refusal::unknown(Kind::AnswerTruncated, detail));
+            }
+            Err(_) => {
+                place.end(Ending::Failed);
+                return Err(late(&place));
+            }
+        };
+        if let Some(idle) = idle {
+            lent.keep(idle);
+        }
+        if status.is_server_error() {
+            place.end(Ending::Failed);
+            if may_repeat {
+                trace.note("endpoint failed");
+                let detail = format!("{} answered {status}", place.name);
+                return Err(Refusal::unknown(Kind::EndpointFailed, detail));
+            }
+        } else {
+            place.end(Ending::Good);
+        }
+        trace.answered(status);
+        let headers = self.protocol.passed_on(&head.headers);
+        Ok(respond(status, headers, whole_body(bytes)))
+    }
+}
+
+/// The refusal of a request whose endpoint did not answer in time.
+fn late(place: &Place) -> Refusal {
+    let detail = format!("{} did not answer in time", place.name);
+    Refusal::unknown(Kind::EndpointTimeout, detail)
+}
+
+fn find_workspace<'a>(
+    fleet: &'a Fleet,
+    route: &FleetRoute,
+    call: &Call,
+) -> Result<Option<&'a FleetWorkspace>, Refusal> {
+    if route.open || fleet.workspaces.is_empty() {
+        return Ok(None);
+    }
+    let Some(key) = &call.key else {
+        return Err(Refusal::not_run(Kind::KeyMissing, "the route needs a key"));
+    };
+    match fleet.workspace(key) {
+        Some(workspace) => Ok(Some(workspace)),
+        None => {
+            let detail = format!("no such key in version {}", fleet.version);
+            Err(Refusal::not_run(Kind::KeyRefused, detail))
+        }
+    }
+}
+
+/// Reads a caller's body within the limit of its size and the caller's deadline.
+async fn read_body(body: Incoming, most: usize, deadline: Instant) -> Result<Bytes, Refusal> {
+    let reading = tokio::time::timeout_at(deadline, Limited::new(body, most).collect());
+    match reading.await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let detail = format!("the limit is {most} bytes");
+            Err(Refusal::not_run(Kind::BodyTooLarge, detail))
+        }
+        Ok(Err(error)) => {
+            let detail = format!("the body cannot be read: {error}");
+            Err(Refusal::not_run(Kind::BadRequest, detail))
+        }
+        Err(_) => Err(Refusal::not_run(Kind::RequestTimeout, "the body came too slowly")),
+    }
+}
+
+fn respond(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Makes a body of bytes that are all there.
+pub(crate) fn whole_body(bytes: Bytes) -> Body {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
--- /dev/null
+++ b/crates/entry/src/request/send.rs
@@ -0,0 +1,152 @@
+//! One send of a request to one endpoint.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bamboocourse_decide::{Ending, Kind, Refusal};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::trace::Trace;
+use super::{COME_BACK, Job, Pipeline, late};
+use crate::edge::SendHead;
+use crate::edge::pool::{Lent, SendError, read_all};
+use crate::process::desk::Place;
+
+/// The largest body of an answer that says "not run", in bytes.
+const SHED_BODY: usize = 64 << 10;
+/// How long such a body is waited for before its connection is closed instead.
+const SHED_WAIT: Duration = Duration::from_millis(50);
+/// How many times its aim an answer may take before it is asked for elsewhere, in tenths.
+const HANG_TENTHS: u32 = 25;
+/// The least time before an answer is asked for elsewhere.
+const HANG_LEAST: Duration = Duration::from_millis(450);
+
+/// An endpoint's answer whose head has been checked.
+pub(super) struct Answer {
+    pub(super) head: http::response::Parts,
+    pub(super) body: Incoming,
+    pub(super) lent: Lent,
+    /// How long the connection may be kept, unless it is to be closed.
+    pub(super) idle: Option<Option<Duration>>,
+    pub(super) place: Place,
+}
+
+/// What one send came to.
+pub(super) enum Sent {
+    /// The endpoint answered.
+    Answer(Box<Answer>),
+    /// The request was certainly not run.
+    NotRun(Refusal),
+    /// The request may have run.
+    Unknown(Refusal),
+}
+
+impl Pipeline {
+    /// Sends a request and reads the head of its answer.
+    ///
+    /// `after` is the last event that is already had, `runs` counts former sends that may have run.
+    pub(super) async fn send(
+        self: &Arc<Self>,
+        job: &Job,
+        mut place: Place,
+        after: Option<u64>,
+        runs: u32,
+        trace: &mut Trace,
+    ) -> Sent {
+        let head = SendHead {
+            endpoint: &place.name,
+            workspace: job.workspace.as_ref(),
+            left: job.left(),
+            urgency: job.call.wanted.as_ref().map(|_| job.urgency),
+            after,
+        };
+        let request = self.protocol.write_send(&job.call, &head).body(Full::new(job.body.clone()));
+        let request = match request {
+            Ok(request) => request,
+            Err(error) => {
+                let detail = format!("the request cannot be passed on: {error}");
+                return Sent::NotRun(Refusal::not_run(Kind::BadRequest, detail));
+            }
+        };
+        let until = self.hang_at(job, runs);
+        let sent = tokio::time::timeout_at(until, self.pool.send(place.address, request)).await;
+        let (response, lent) = match sent {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(SendError::NotSent(why))) => {
+                trace.note("not sent");
+                place.end(Ending::Gone);
+                let detail = format!("{} cannot be reached: {why}", place.name);
+                return Sent::NotRun(Refusal::not_run(Kind::NoEndpoint, detail).after(COME_BACK));
+            }
+            Ok(Err(SendError::Unknown(why))) => {
+                trace.note("connection lost");
+                place.end(Ending::Failed);
+                let detail = format!("{} broke off: {why}", place.name);
+                return Sent::Unknown(Refusal::unknown(Kind::EndpointFailed, detail));
+            }
+            Err(_) => {
+                trace.note("no answer");
+                place.end(Ending::Failed);
+                return Sent::Unknown(late(&place));
+            }
+        };
+        self.check(job, response, lent, place, trace).await
+    }
+
+    /// Checks that an answer is to this request and says what it seems to say.
+    async fn check(
+        &self,
+        job: &Job,
+        response: http::Response<Incoming>,
+        lent: Lent,
+        mut place: Place,
+        trace: &mut Trace,
+    ) -> Sent {
+        let (head, body) = response.into_parts();
+        let said = self.protocol.read_answer(&head);
+        if let Some(load) = said.load {
+            place.on_load(load);
+        }
+        if said.id.as_ref().is_some_and(|id| *id != job.call.id) {
+            trace.note("another request's answer");
+            place.end(Ending::Failed);
+            let detail = format!("{} answered another request", place.name);
+            return Sent::Unknown(Refusal::unknown(Kind::AnswerMismatch, detail));
+        }
+        let idle = (!said.closes).then_some(said.idle);
+        if said.not_run {
+            if let Ok(Ok(_)) = tokio::time::timeout(SHED_WAIT, read_all(body, SHED_BODY)).await
+                && let Some(idle) = idle
+            {
+                lent.keep(idle);
+            }
+            let lacking = head.status == 421;
+            if lacking && let Some(wanted) = &job.call.wanted {
+                place.on_lacking(wanted);
+            }
+            trace.note(if lacking { "endpoint lacks it" } else { "endpoint is full" });
+            place.end(if lacking { Ending::Neutral } else { Ending::Shed });
+            let detail = format!("{} answered {} and did not run it", place.name, head.status);
+            return Sent::NotRun(Refusal::not_run(Kind::Overloaded, detail).after(COME_BACK));
+        }
+        if said.id.is_none() || !said.sealed {
+            trace.note("answer without a seal");
+            place.end(Ending::Failed);
+            let detail = format!("{} answered {} without its seal", place.name, head.status);
+            return Sent::Unknown(Refusal::unknown(Kind::EndpointFailed, detail));
+        }
+        trace.first();
+        Sent::Answer(Box::new(Answer { head, body, lent, idle, place }))
+    }
+
+    /// Returns when an answer that has not begun is asked for elsewhere, or given up.
+    fn hang_at(&self, job: &Job, runs: u32) -> Instant {
+        if !job.route.repeat.again() || runs + 1 >= job.route.attempts {
+            return job.deadline;
+        }
+        let hang = (job.route.aim * HANG_TENTHS / 10).max(HANG_LEAST);
+        (Instant::now() + hang).min(job.deadline)
+    }
+}
