Tokens run ahead of demand; the lease's holder resigns when cut off; room is made once

Change: ceilings run up to 4 s ahead and last 7 s; the store's row notes what was spent and what is open, so a successor goes on from there; a holder that cannot reach the store resigns over the peer link; the planner remembers for which model it makes room.

--- a/crates/decide/src/process/allowance/mod.rs
+++ b/crates/decide/src/process/allowance/mod.rs
@@ -3,7 +3,8 @@
 //! The limit of a window is cut in two. A small part lies in fixed *floors*, one for each VM, which
 //! need no word from anybody, so that a VM that is cut off goes on serving. The rest is the *pool*:
 //! the VM that holds the fleet's lease raises each VM's ceiling a little ahead of its demand and
-//! counts what may have been spent. A ceiling lapses unless it is renewed, and what was not reported
+//! counts what may have been spent. Ceilings run some seconds ahead, which bridges the time without a
+//! holder. A ceiling lapses unless it is renewed, and what was not reported
 //! by then counts as spent.
 
 pub(crate) mod pool;
@@ -12,15 +13,19 @@
 use std::time::Duration;
 
 /// The part of a window's limit that lies in floors, in millionths.
-const FLOOR_PART: u64 = 350_000;
+const FLOOR_PART: u64 = 200_000;
 /// The part of the slack of a limit that is used, in millionths; the rest covers late counting.
 const SLACK_PART: u64 = 700_000;
 /// The part of the tolerated excess that is used, in millionths.
 const EXCESS_PART: f64 = 0.8;
 /// How long a ceiling may be spent from after the report that it answers was sent.
-pub const CEILING_TERM: Duration = Duration::from_millis(1_500);
+///
+/// Long enough for a successor to be found and heard of when the holder of the pool is lost.
+pub const CEILING_TERM: Duration = Duration::from_millis(7_000);
 /// How much longer the holder of the pool waits before it counts a ceiling as spent.
 pub const CEILING_MARGIN: Duration = Duration::from_millis(500);
+/// The parts in which what was spent of late is told.
+pub const HISTORY: u32 = 8;
 /// Millionths in a whole.
 pub const MILLION: u64 = 1_000_000;
 
--- a/crates/decide/src/process/allowance/pool.rs
+++ b/crates/decide/src/process/allowance/pool.rs
@@ -1,21 +1,32 @@
 //! The pool's side of a workspace's tokens, at the VM that holds the fleet's lease.
+//!
+//! Before a ceiling is raised, the store has recorded how far it may be raised until the next
+//! record, and what was spent of late. So a successor knows what may have been spent by VMs that it
+//! does not hear of, and goes on from there instead of waiting for a whole window.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::spender::Spending;
-use super::{CEILING_MARGIN, CEILING_TERM, Limit};
+use super::{CEILING_MARGIN, CEILING_TERM, HISTORY, Limit};
 use crate::ids::{Incarnation, Tokens, VmId};
 use crate::map::FastMap;
 use crate::process::window::Window;
 
 /// Reports arrive this much after what they report was spent.
-const REPORT_LAG: Duration = Duration::from_secs(1);
-/// How much of a second's demand a ceiling runs ahead, in thousandths.
-const AHEAD: Tokens = 900;
-/// The least that a ceiling runs ahead, so that one large request fits.
+const REPORT_LAG: Duration = Duration::from_millis(500);
+/// How many seconds of its demand a VM may run ahead: it covers a change of the lease's holder.
+const AHEAD: f64 = 4.0;
+/// How many seconds of its demand a VM runs ahead at least, where the pool is nearly spent.
+const AHEAD_SCARCE: f64 = 0.5;
+/// The part of the pool that must be free for VMs to run ahead fully.
+const PLENTY: f64 = 0.5;
+/// The least that a VM with demand runs ahead, so that one large request fits.
 const AHEAD_LEAST: Tokens = 4_000;
-/// How far beyond the present count the next recorded cap reaches, as a part of the pool.
-const CAP_AHEAD: Tokens = 4;
+/// The part of the pool by which a VM's ceiling may rise between two records.
+const HEADROOM: Tokens = 16;
 
 /// What a VM may spend.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,16 +37,28 @@
     pub hungry: bool,
 }
 
+/// A pool as it is recorded in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct PoolNote {
+    /// Tokens spent of late, by parts of the window, the latest first.
+    pub used: Vec<Tokens>,
+    /// What each VM may spend beyond that before the next record.
+    pub open: BTreeMap<VmId, Tokens>,
+}
+
 /// The pool of one workspace.
 #[derive(Debug, Clone)]
 pub struct TokenPool {
     size: Tokens,
+    span: Duration,
+    part: Duration,
     /// Tokens that have been spent, by the time of the report.
     used: Window,
-    /// What a former holder of the pool may have let be spent, and until when it counts.
-    unknown: (Tokens, Duration),
-    /// What the store has recorded that this holder may let be spent.
-    cap: Tokens,
+    /// What VMs of a former holder may have spent since its last record, and until when it counts.
+    unknown: FastMap<VmId, Tokens>,
+    unknown_until: Duration,
+    /// When the former holder's record was made; what was spent before is in `used`.
+    recorded: Duration,
     members: FastMap<VmId, Member>,
 }
 
@@ -44,29 +67,42 @@
     life: Incarnation,
     spent: Tokens,
     ceiling: Tokens,
+    /// How far the ceiling may be raised by the store's record.
+    most: Tokens,
+    /// How far it may be raised once the next record is in the store.
+    next: Tokens,
     lapses: Duration,
     lapsed: bool,
 }
 
 impl TokenPool {
-    /// Makes a pool after a former holder that may have let so many tokens be spent.
+    /// Makes a pool after a former holder's note that was recorded so long ago.
     ///
     /// ```
-    /// use bamboocourse_decide::{Limit, TokenPool};
+    /// use bamboocourse_decide::{Limit, PoolNote, TokenPool};
     /// use std::time::Duration;
     /// let window = Duration::from_secs(8);
     /// let limit = Limit { rate: 100.0, burst: 100.0, window, excess: 0.0, slack: 0 };
-    /// let mut pool = TokenPool::new(limit, 0, Duration::ZERO);
-    /// assert!(pool.next_cap(Duration::ZERO) > 0);
+    /// let mut pool = TokenPool::new(limit, &PoolNote::default(), Duration::ZERO, Duration::ZERO);
+    /// assert_eq!(pool.charged(Duration::ZERO), 0);
     /// ```
-    pub fn new(limit: Limit, before: Tokens, now: Duration) -> Self {
+    pub fn new(limit: Limit, note: &PoolNote, age: Duration, now: Duration) -> Self {
         let span = limit.window + REPORT_LAG;
-        let until = now + span + CEILING_TERM + CEILING_MARGIN;
+        let part = limit.window / HISTORY;
+        let mut used = Window::new(span);
+        for (index, tokens) in note.used.iter().enumerate().rev() {
+            // Each part counts from its end, which is late rather than early.
+            used.add(now.saturating_sub(age + part * index as u32), *tokens);
+        }
+        let unknown = note.open.iter().map(|(vm, open)| (vm.clone(), *open)).collect();
         Self {
             size: limit.pool(),
-            used: Window::new(span),
-            unknown: (before, until),
-            cap: 0,
+            span,
+            part,
+            used,
+            unknown,
+            unknown_until: now + CEILING_TERM + CEILING_MARGIN + span,
+            recorded: now.saturating_sub(age),
             members: FastMap::default(),
         }
     }
@@ -76,15 +112,26 @@
         self.size = limit.pool();
     }
 
-    /// Returns the cap to record in the store before it is granted.
-    pub fn next_cap(&mut self, now: Duration) -> Tokens {
-        let charged = self.charged(now);
-        (charged + self.size / CAP_AHEAD + AHEAD_LEAST).min(self.size.max(charged))
+    /// Returns the note to record before ceilings are raised further.
+    pub fn next_note(&mut self, now: Duration) -> PoolNote {
+        self.lapse(now);
+        let headroom = self.size / HEADROOM + AHEAD_LEAST;
+        let mut open: BTreeMap<VmId, Tokens> = BTreeMap::new();
+        if now < self.unknown_until {
+            open.extend(self.unknown.iter().map(|(vm, tokens)| (vm.clone(), *tokens)));
+        }
+        for (vm, member) in &mut self.members {
+            member.next = if member.lapsed { member.ceiling } else { member.ceiling + headroom };
+            *open.entry(vm.clone()).or_default() += member.next - member.spent;
+        }
+        PoolNote { used: self.used.parts(self.part, HISTORY, now), open }
     }
 
-    /// Notes that the store has recorded a cap.
-    pub fn set_cap(&mut self, cap: Tokens) {
-        self.cap = cap;
+    /// Notes that the last note is in the store.
+    pub fn on_recorded(&mut self) {
+        for member in self.members.values_mut() {
+            member.most = member.next;
+        }
     }
 
     /// Takes in a VM's report and returns its new ceiling.
@@ -92,52 +139,96 @@
         &mut self,
         vm: &VmId,
         life: Incarnation,
-        said: Spending,
+        said: &Spending,
         now: Duration,
     ) -> Ceiling {
         self.lapse(now);
-        let vms = self.members.len().max(1) as u64;
-        let member = self.members.entry(vm.clone()).or_insert_with(|| Member {
-            life,
-            spent: said.spent,
-            ceiling: said.spent,
-            lapses: now,
-            lapsed: false,
-        });
-        if member.life != life {
-            // The former process is gone; what it may have spent counts from now.
-            self.used.add(now, member.ceiling.saturating_sub(member.spent));
-            let spent = said.spent;
-            *member = Member { life, spent, ceiling: spent, lapses: now, lapsed: false };
+        self.meet(vm, life, said, now);
+        let charged = self.charged(now);
+        let room = self.size.saturating_sub(charged);
+        let plenty = (room as f64 / (self.size as f64 * PLENTY).max(1.0)).min(1.0);
+        let ahead = AHEAD_SCARCE + (AHEAD - AHEAD_SCARCE) * plenty;
+        let vms = self.members.len() as u64;
+        let Some(member) = self.members.get_mut(vm) else {
+            return Ceiling { tokens: 0, hungry: true };
+        };
+        let least = if said.wanted > 0 { AHEAD_LEAST } else { 0 };
+        let need = ((said.wanted as f64 * ahead) as u64).max(least);
+        let open = member.ceiling - member.spent;
+        let need = need.saturating_sub(open);
+        let given = need.min(room / vms.max(2)).min(member.most.saturating_sub(member.ceiling));
+        member.ceiling += given;
+        member.lapses = now + CEILING_TERM + CEILING_MARGIN;
+        Ceiling { tokens: member.ceiling, hungry: given < need && open + given < least }
+    }
+
+    /// Tells whether a VM's ceiling is held back by the record alone.
+    pub fn wants_record(&self) -> bool {
+        let near = |member: &Member| {
+            !member.lapsed && member.most.saturating_sub(member.ceiling) < AHEAD_LEAST
+        };
+        self.members.values().any(near)
+    }
+
+    /// Returns what may have been spent within a window, or may be at any moment.
+    pub fn charged(&mut self, now: Duration) -> Tokens {
+        let open: Tokens = self.members.values().map(|m| m.ceiling - m.spent).sum();
+        let unknown: Tokens =
+            if now < self.unknown_until { self.unknown.values().sum() } else { 0 };
+        self.used.total(now) + open + unknown
+    }
+
+    /// Brings what is known of a VM up to date with its report.
+    fn meet(&mut self, vm: &VmId, life: Incarnation, said: &Spending, now: Duration) {
+        let known = self.members.get(vm).is_some_and(|member| member.life == life);
+        if !known {
+            if let Some(former) = self.members.remove(vm) {
+                // The former process is gone; what it may have spent counts from now.
+                self.used.add(now, former.ceiling - former.spent);
+            } else {
+                self.adopt(vm, said, now);
+            }
+            let ceiling = said.ceiling.max(said.spent);
+            let member = Member {
+                life,
+                spent: said.spent,
+                ceiling,
+                most: ceiling,
+                next: ceiling,
+                lapses: now + CEILING_TERM,
+                lapsed: false,
+            };
+            self.members.insert(vm.clone(), member);
+            return;
         }
+        let Some(member) = self.members.get_mut(vm) else { return };
         if member.lapsed {
             // Its open part was counted as spent; what it has left starts anew.
             member.spent = said.spent;
             member.ceiling = said.spent;
+            member.most = member.most.max(said.spent);
             member.lapsed = false;
         }
         let newly = said.spent.saturating_sub(member.spent);
         self.used.add(now, newly);
         member.spent = member.spent.max(said.spent);
         member.ceiling = member.ceiling.max(said.spent);
-        let open = member.ceiling - member.spent;
-        let ahead =
-            (said.wanted * AHEAD / 1_000).max(if said.wanted > 0 { AHEAD_LEAST } else { 0 });
-        let need = ahead.saturating_sub(open);
-        let charged = self.charged(now);
-        let room = self.size.min(self.cap).saturating_sub(charged);
-        let given = if need <= room / vms.max(2) { need } else { need.min(room / vms.max(2)) };
-        let member = self.members.get_mut(vm).expect("the member was just entered");
-        member.ceiling += given;
-        member.lapses = now + CEILING_TERM + CEILING_MARGIN;
-        Ceiling { tokens: member.ceiling, hungry: given < need }
+        member.most = member.most.max(member.ceiling);
     }
 
-    /// Returns what may have been spent within a window, or may be at any moment.
-    pub fn charged(&mut self, now: Duration) -> Tokens {
-        let open: Tokens = self.members.values().map(|m| m.ceiling - m.spent).sum();
-        let unknown = if now < self.unknown.1 { self.unknown.0 } else { 0 };
-        self.used.total(now) + open + unknown
+    /// Replaces what a VM of a former holder may have spent by what it says.
+    fn adopt(&mut self, vm: &VmId, said: &Spending, now: Duration) {
+        if said.recent.is_empty() || !self.unknown.contains_key(vm) {
+            // A new process says nothing of the former one: its part stays unknown.
+            return;
+        }
+        self.unknown.remove(vm);
+        for (index, tokens) in said.recent.iter().enumerate() {
+            let begun = now.saturating_sub(self.part * index as u32);
+            if begun >= self.recorded {
+                self.used.add(now, *tokens);
+            }
+        }
     }
 
     /// Counts the ceilings of silent VMs as spent.
@@ -149,5 +240,7 @@
                 member.lapsed = true;
             }
         }
+        let forgotten = self.span;
+        self.members.retain(|_, member| now < member.lapses + forgotten);
     }
 }
--- a/crates/decide/src/process/allowance/spender.rs
+++ b/crates/decide/src/process/allowance/spender.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{CEILING_TERM, Limit, MILLION};
+use super::{CEILING_TERM, HISTORY, Limit, MILLION};
 use crate::ids::{Fence, Tokens};
 use crate::process::window::Window;
 
@@ -32,10 +32,16 @@
 }
 
 /// What a VM tells the holder of the pool about one workspace.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Spending {
     /// Tokens of the pool spent since the VM's process began.
     pub spent: Tokens,
+    /// What it may spend at present, by the same count.
+    pub ceiling: Tokens,
+    /// Tokens of the pool spent of late, by parts of the window, the latest first.
+    ///
+    /// Empty until the VM has spent anything under an earlier grant.
+    pub recent: Vec<Tokens>,
     /// Tokens asked for in the last second, beyond what the floor gave.
     pub wanted: Tokens,
 }
@@ -49,6 +55,7 @@
     opens: Duration,
     floor_used: Window,
     spent: Tokens,
+    recent: Window,
     ceiling: Tokens,
     until: Duration,
     fence: Fence,
@@ -75,6 +82,7 @@
             opens,
             floor_used: Window::new(limit.window),
             spent: 0,
+            recent: Window::new(limit.window),
             ceiling: 0,
             until: Duration::ZERO,
             fence: 0,
@@ -101,14 +109,12 @@
         self.wanted.add(now, tokens);
         if now < self.until && self.spent + tokens <= self.ceiling {
             self.spent += tokens;
+            self.recent.add(now, tokens);
             return Ok(Admitted { floor: 0, pool: tokens });
         }
         let again = self.again(tokens, now);
-        if now < self.until && self.hungry {
-            Err(Short::Spent(again))
-        } else {
-            Err(Short::Asking(again))
-        }
+        let spent = now < self.until && self.hungry;
+        Err(if spent { Short::Spent(again) } else { Short::Asking(again) })
     }
 
     /// Gives back tokens of a request that was never sent.
@@ -132,7 +138,11 @@
 
     /// Returns what the holder of the pool is told.
     pub fn report(&mut self, now: Duration) -> Spending {
-        Spending { spent: self.spent, wanted: self.wanted.total(now) }
+        let ceiling = if now < self.until { self.ceiling } else { self.spent };
+        let part = self.limit.window / HISTORY;
+        let known = self.fence > 0;
+        let recent = if known { self.recent.parts(part, HISTORY, now) } else { Vec::new() };
+        Spending { spent: self.spent, ceiling, recent, wanted: self.wanted.total(now) }
     }
 
     fn again(&mut self, tokens: Tokens, now: Duration) -> Duration {
--- a/crates/decide/src/process/placement/fleet.rs
+++ b/crates/decide/src/process/placement/fleet.rs
@@ -23,10 +23,16 @@
 const SILENT: Duration = Duration::from_secs(8);
 /// How long an adapter must be unused before it makes way.
 const UNUSED: Duration = Duration::from_millis(700);
+/// How long after it was asked for a missing adapter is still loaded.
+const ASKED: Duration = Duration::from_secs(2);
+/// How long an adapter takes to load where few are under way.
+const ADAPTER_TIME: Duration = Duration::from_millis(10);
 /// Loads from the weight store that are kept back in each window for late ones.
 const KEPT_BACK: f64 = 1.0;
 /// Loads that the bound allows besides its rate.
 const BESIDES: f64 = 3.0;
+/// How long room that is being made for a model is waited for.
+const CLEARING: Duration = Duration::from_secs(6);
 /// The time over which demand is smoothed.
 const SMOOTH: f64 = 0.8;
 
@@ -84,6 +90,8 @@
     pub resident: Resident,
     /// The model that is being loaded.
     pub loading: Option<ModelId>,
+    /// The adapter that is being loaded.
+    pub coming: Option<(ModelId, AdapterId)>,
     /// Models that late orders may still load.
     pub late: Vec<ModelId>,
     /// Models that load without the weight store.
@@ -121,6 +129,8 @@
     demand: FastMap<ModelId, Demand>,
     adapters: FastMap<(ModelId, AdapterId), Duration>,
     missing: FastMap<(ModelId, AdapterId), Duration>,
+    /// Endpoints where room is being made for a model, and until when that is waited for.
+    clearing: FastMap<EndpointId, (ModelId, Duration)>,
     updated: Duration,
 }
 
@@ -179,13 +189,47 @@
         now: Duration,
     ) -> Vec<Move> {
         let mut moves = Vec::new();
+        self.plan_cleared(engine, sites, intake, now, &mut moves);
         self.plan_adapters(engine, sites, now, &mut moves);
         self.plan_models(engine, sites, intake, now, &mut moves);
         moves
     }
 
+    /// Loads models where room has been made for them.
+    fn plan_cleared(
+        &mut self,
+        engine: &FleetEngine,
+        sites: &mut [Site],
+        intake: &mut Intake,
+        now: Duration,
+        moves: &mut Vec<Move>,
+    ) {
+        self.clearing
+            .retain(|name, (_, until)| now < *until && sites.iter().any(|site| site.name == *name));
+        for site in sites.iter_mut().filter(|site| site.idle) {
+            let Some((model, _)) = self.clearing.get(&site.name).cloned() else { continue };
+            let Some(spec) = engine.models.get(&model) else { continue };
+            let fits = engine.memory - site.charged(engine) >= spec.memory;
+            if !fits || site.holds(&model) || site.late.contains(&model) {
+                self.clearing.remove(&site.name);
+                continue;
+            }
+            let near = site.near.contains(&model);
+            if !near && !intake.take(now) {
+                continue;
+            }
+            self.clearing.remove(&site.name);
+            let takes = if near { spec.disk } else { spec.load };
+            site.idle = false;
+            site.loading = Some(model.clone());
+            let why = SmolStr::new(format!("room was made for {model}"));
+            let command = Command::Load(model);
+            moves.push(Move { endpoint: site.name.clone(), command, takes, why });
+        }
+    }
+
     fn plan_models(
-        &self,
+        &mut self,
         engine: &FleetEngine,
         sites: &mut [Site],
         intake: &mut Intake,
@@ -193,6 +237,9 @@
         moves: &mut Vec<Move>,
     ) {
         let mut copies = count_copies(sites);
+        for (model, _) in self.clearing.values() {
+            *copies.entry(model.clone()).or_default() += 1;
+        }
         let domains: FastSet<&DomainId> = sites.iter().map(|site| &site.domain).collect();
         let domains = domains.len();
         let mut short: Vec<(f64, ModelId)> = Vec::new();
@@ -209,6 +256,7 @@
         }
         short.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         let loading = sites.iter().filter(|site| site.loading.is_some()).count();
+        let loading = loading + self.clearing.len();
         let mut running = loading;
         for (_, model) in short {
             let spec = &engine.models[&model];
@@ -225,6 +273,10 @@
             let (command, takes) = match victim {
                 Some(victim) => {
                     *copies.entry(victim.clone()).or_default() -= 1;
+                    *copies.entry(model.clone()).or_default() += 1;
+                    let until = now + CLEARING;
+                    self.clearing.insert(sites[index].name.clone(), (model.clone(), until));
+                    running += 1;
                     (Command::Unload(victim), Duration::from_secs(1))
                 }
                 None => {
@@ -275,7 +327,8 @@
         }
         let mut best: Option<(f64, usize, Option<ModelId>)> = None;
         for (index, site) in sites.iter().enumerate() {
-            if !site.idle || site.holds(model) || site.late.contains(model) {
+            let cleared = self.clearing.contains_key(&site.name);
+            if !site.idle || cleared || site.holds(model) || site.late.contains(model) {
                 continue;
             }
             if !store && !site.near.contains(model) {
@@ -318,7 +371,9 @@
         sites: usize,
         now: Duration,
     ) -> Option<(f64, ModelId)> {
-        let asked = self.demand.get(model).is_some_and(|demand| demand.level > 0.0);
+        // Only a model that is asked for and held nowhere takes another's last copy.
+        let asked = self.demand.get(model).is_some_and(|demand| demand.waiting > 0.0)
+            && copies.get(model).copied().unwrap_or(0) == 0;
         let mut best: Option<(f64, ModelId)> = None;
         for other in site.resident.keys() {
             let held = copies.get(other).copied().unwrap_or(0);
@@ -362,9 +417,11 @@
         for (at, key) in missing {
             let (model, adapter) = &key;
             let held = |site: &Site| {
-                site.resident.get(model).is_some_and(|adapters| adapters.contains(adapter))
+                let resident = site.resident.get(model);
+                resident.is_some_and(|adapters| adapters.contains(adapter))
+                    || site.coming.as_ref().is_some_and(|coming| *coming == key)
             };
-            if now > at + Duration::from_secs(2) || sites.iter().any(held) {
+            if now > at + ASKED || sites.iter().any(held) {
                 self.missing.remove(&key);
                 continue;
             }
@@ -391,10 +448,13 @@
             site.idle = false;
             let command = match victim {
                 Some((model, adapter)) => Command::Release(model, adapter),
-                None => Command::Fetch(model.clone(), adapter.clone()),
+                None => {
+                    site.coming = Some(key.clone());
+                    Command::Fetch(model.clone(), adapter.clone())
+                }
             };
             let why = SmolStr::new(format!("{model}/{adapter} is asked for"));
-            let takes = Duration::from_millis(10);
+            let takes = ADAPTER_TIME;
             moves.push(Move { endpoint: site.name.clone(), command, takes, why });
         }
     }
--- a/crates/decide/src/process/placement/lease.rs
+++ b/crates/decide/src/process/placement/lease.rs
@@ -60,7 +60,13 @@
     Settled(Outcome, Duration),
     /// Time has passed.
     Tick(Duration),
-    /// The VM gives the lease up.
+    /// The holder said that it renewed the row, as a revision.
+    Renewed(Fence, Revision, Duration),
+    /// The holder said that it has given up what it held under a fencing number.
+    Resigned(Fence),
+    /// The VM gives up what it holds now; it may claim the lease again.
+    Yield,
+    /// The VM gives the lease up for good.
     Release,
 }
 
@@ -93,7 +99,8 @@
 
     /// Makes a lease of other terms.
     pub fn with_terms(vm: VmId, life: Incarnation, terms: Terms) -> Self {
-        let holder = Holder { vm, life, terms, seen: None, until: Duration::ZERO, sent: None };
+        let until = Duration::ZERO;
+        let holder = Holder { vm, life, terms, seen: None, until, sent: None, resigned: 0 };
         Self { machine: holder.state_machine() }
     }
 
@@ -131,6 +138,8 @@
     seen: Option<Seen>,
     until: Duration,
     sent: Option<Sent>,
+    /// The largest fencing number that its holder has given up.
+    resigned: Fence,
 }
 
 struct Seen {
@@ -162,7 +171,15 @@
                 Some(fence) => Transition(State::leading(fence)),
                 None => Handled,
             },
-            LeaseEvent::Tick(_) => Handled,
+            LeaseEvent::Renewed(fence, revision, now) => {
+                self.note_renewal(*fence, *revision, *now);
+                Handled
+            }
+            LeaseEvent::Resigned(fence) => {
+                self.resigned = self.resigned.max(*fence);
+                Handled
+            }
+            LeaseEvent::Tick(_) | LeaseEvent::Yield => Handled,
             LeaseEvent::Release => Transition(State::stepped()),
         }
     }
@@ -188,7 +205,12 @@
                 Handled
             }
             LeaseEvent::Tick(now) if *now >= self.until => Transition(State::following()),
-            LeaseEvent::Tick(_) => Handled,
+            LeaseEvent::Tick(_) | LeaseEvent::Renewed(..) | LeaseEvent::Resigned(_) => Handled,
+            LeaseEvent::Yield => {
+                self.resigned = self.resigned.max(*fence);
+                self.sent = None;
+                Transition(State::following())
+            }
             LeaseEvent::Release => {
                 *context = self.vacate();
                 Transition(State::stepped())
@@ -216,9 +238,21 @@
         self.seen = Some(Seen { revision: *revision, row: row.clone(), changed: now });
     }
 
+    /// Takes the holder's word for a renewal, so that a challenger need not read the row to wait.
+    fn note_renewal(&mut self, fence: Fence, revision: Revision, now: Duration) {
+        let Some(seen) = &mut self.seen else { return };
+        if seen.row.fence == fence && seen.revision < revision {
+            seen.revision = revision;
+            seen.changed = now;
+        }
+    }
+
     /// Returns the fencing number to claim the lease with, if it is free.
     fn claim(&self, now: Duration) -> Option<Fence> {
         let Some(seen) = &self.seen else { return Some(1) };
+        if seen.row.fence <= self.resigned {
+            return Some(seen.row.fence + 1);
+        }
         if seen.row.holder == self.vm && seen.row.life == self.life {
             // The answer to an earlier claim was lost; the row says that it took effect.
             return Some(seen.row.fence);
--- a/crates/decide/src/process/placement/station.rs
+++ b/crates/decide/src/process/placement/station.rs
@@ -137,6 +137,14 @@
         }
     }
 
+    /// Returns the adapter that is being loaded.
+    pub fn coming(&self) -> Option<(ModelId, AdapterId)> {
+        match self.open.as_ref().map(|open| &open.command) {
+            Some(Command::Fetch(model, adapter)) => Some((model.clone(), adapter.clone())),
+            _ => None,
+        }
+    }
+
     /// Returns the start of the endpoint's process that is known.
     pub fn born(&self) -> u64 {
         self.born
--- a/crates/decide/src/process/window.rs
+++ b/crates/decide/src/process/window.rs
@@ -73,6 +73,20 @@
         None
     }
 
+    /// Returns the amounts of the last parts of so long each, the latest first.
+    pub fn parts(&self, part: Duration, count: u32, now: Duration) -> Vec<u64> {
+        let mut parts = vec![0; count as usize];
+        for (index, amount) in &self.buckets {
+            let end = self.grain * (*index as u32 + 1);
+            let age = now.saturating_sub(end);
+            let place = (age.as_nanos() / part.as_nanos().max(1)) as usize;
+            if let Some(sum) = parts.get_mut(place) {
+                *sum += amount;
+            }
+        }
+        parts
+    }
+
     fn index(&self, at: Duration) -> u64 {
         (at.as_nanos() / self.grain.as_nanos()) as u64
     }
--- a/crates/entry/src/edge/mod.rs
+++ b/crates/entry/src/edge/mod.rs
@@ -76,13 +76,15 @@
     pub rows: Vec<StoreRow>,
     /// The store's version.
     pub version: StoreVersion,
+    /// The store's steady clock.
+    pub now: Duration,
 }
 
 /// What a conditional write came to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Written {
-    /// It was done, as this version.
-    Done(StoreVersion),
+    /// It was done, as this version, at this time of the store's clock.
+    Done(StoreVersion, Duration),
     /// The row differs; this is it now.
     Differs(Option<StoreRow>),
 }
--- a/crates/entry/src/process/lead/mod.rs
+++ b/crates/entry/src/process/lead/mod.rs
@@ -21,7 +21,9 @@
 
 use crate::edge::clock::boot_now;
 use crate::edge::pool::{Pool, read_all};
-use crate::edge::{OrderHead, Protocol, Store, StoreError, StoreRow, StoreRows, Table, Written};
+use crate::edge::{
+    OrderHead, Protocol, Store, StoreError, StoreRow, StoreRows, StoreVersion, Table, Written,
+};
 use crate::process::board::Board;
 use crate::process::listing::Listing;
 use crate::process::metrics::Metrics;
@@ -38,10 +40,16 @@
 const MARGIN: Duration = Duration::from_millis(500);
 /// How often the lease is renewed.
 const RENEW: Duration = Duration::from_millis(800);
+/// The least time between renewals when a ceiling is held back until the next record.
+const RENEW_SOON: Duration = Duration::from_millis(250);
+/// How long after its last renewal a holder that cannot reach the store gives the lease up.
+const RESIGN: Duration = Duration::from_millis(1_400);
 /// How long the holder may be silent before its row is read.
 const SILENCE: Duration = Duration::from_millis(1_200);
 /// How often the row is read while the holder is silent.
 const LOOK: Duration = Duration::from_millis(700);
+/// How long a call for the lease's row may take: several fit into its term.
+const CALL_WAIT: Duration = Duration::from_millis(600);
 /// How often the task looks at its clocks.
 const TICK: Duration = Duration::from_millis(200);
 /// What is added to the time between two givers of orders, for orders under way.
@@ -68,8 +76,10 @@
     Left(PeerId),
     /// An endpoint's listing has changed.
     Listed(EndpointId),
-    /// The holder of the lease was heard of.
-    Heard(Fence),
+    /// The holder of the lease was heard of, and which version of its row it wrote last.
+    Heard(Fence, StoreVersion),
+    /// The holder has given the lease up.
+    Resigned(Fence),
     /// The connection to the holder of the lease has ended.
     Lost,
     /// The row of the lease was read.
@@ -103,7 +113,9 @@
     handles: Handles,
     lease: Lease,
     /// The row as it was last read or written.
-    row: Option<(u64, LeadRow)>,
+    row: Option<(StoreVersion, LeadRow)>,
+    /// The store's clock less this VM's, in milliseconds, as of the store's last answer.
+    offset: i64,
     heard: Duration,
     looked: Duration,
     calling: bool,
@@ -112,6 +124,13 @@
     held: Option<Holding>,
 }
 
+impl Holding {
+    /// Returns the time between two renewals.
+    fn pause(&self) -> Duration {
+        if self.accounts.wants_record() { RENEW_SOON } else { RENEW }
+    }
+}
+
 struct Peer {
     sender: mpsc::UnboundedSender<LeadMessage>,
     told: Duration,
@@ -123,7 +142,11 @@
     orders_from: Duration,
     accounts: Accounts,
     places: Places,
+    /// When a renewal was last tried, and when one last succeeded.
+    tried: Duration,
     renewed: Duration,
+    /// The version of the lease's row that was written last.
+    row: StoreVersion,
     version: u64,
 }
 
@@ -135,6 +158,7 @@
             handles,
             lease,
             row: None,
+            offset: 0,
             heard: Duration::ZERO,
             looked: Duration::ZERO,
             calling: false,
@@ -171,11 +195,18 @@
                 self.peers.remove(&peer);
             }
             Event::Listed(name) => self.on_listed(&name, now),
-            Event::Heard(fence) => {
+            Event::Heard(fence, version) => {
                 if self.row.as_ref().is_none_or(|(_, row)| fence >= row.lease.fence) {
                     self.heard = now;
+                    self.lease.handle(LeaseEvent::Renewed(fence, version, now));
                 }
             }
+            Event::Resigned(fence) => {
+                info!(fence; "the lease's holder has given it up");
+                self.lease.handle(LeaseEvent::Resigned(fence));
+                self.heard = Duration::ZERO;
+                self.looked = Duration::ZERO;
+            }
             Event::Lost => {
                 self.heard = Duration::ZERO;
                 self.looked = Duration::ZERO;
@@ -210,7 +241,7 @@
             return;
         }
         match &self.held {
-            Some(held) if now >= held.renewed + RENEW => self.renew(now),
+            Some(held) if now >= held.tried + held.pause() => self.renew(now),
             Some(_) => {}
             None if now >= self.heard + SILENCE && now >= self.looked + LOOK => self.look(now),
             None => {}
@@ -224,7 +255,10 @@
         self.handles.metrics.store_calls.add(1, &[]);
         let (store, events) = (self.handles.store.clone(), self.handles.events.clone());
         tokio::spawn(async move {
-            let result = store.read(Table::Own).await;
+            let result = match tokio::time::timeout(CALL_WAIT, store.read(Table::Own)).await {
+                Ok(result) => result,
+                Err(_) => Err(StoreError::NotDone("no answer in time".to_owned())),
+            };
             // Only a process that is ending has no receiver.
             let _ = events.send(Event::Read(result));
         });
@@ -240,10 +274,21 @@
                 return;
             }
         };
+        self.set_clock(rows.now, now);
         let row = rows.rows.iter().find(|row| row.key == LEAD_KEY);
         self.observe(row, now);
     }
 
+    fn set_clock(&mut self, store: Duration, now: Duration) {
+        self.offset = store.as_millis() as i64 - now.as_millis() as i64;
+    }
+
+    /// Returns this VM's clock at a time of the store's, in milliseconds; never later than now.
+    fn local_time(&self, store: u64, now: Duration) -> Duration {
+        let millis = store as i64 - self.offset;
+        Duration::from_millis(millis.max(0) as u64).min(now)
+    }
+
     /// Takes in the lease's row as it is in the store.
     fn observe(&mut self, row: Option<&StoreRow>, now: Duration) {
         let read = row.and_then(|row| {
@@ -287,14 +332,15 @@
 
     fn propose(&mut self, proposal: Proposal, now: Duration) {
         let former = self.row.as_ref().map(|(_, row)| row);
-        let (caps, floors) = match &mut self.held {
-            Some(held) => held.accounts.next(now),
-            None => {
-                former.map_or_else(Default::default, |row| (row.caps.clone(), row.floors.clone()))
-            }
+        let clock = (now.as_millis() as i64 + self.offset).max(0) as u64;
+        let (noted, (pools, floors)) = match &mut self.held {
+            Some(held) => (clock, held.accounts.next(now)),
+            None => former.map_or_else(Default::default, |row| {
+                (row.noted, (row.pools.clone(), row.floors.clone()))
+            }),
         };
         let peer = self.handles.settings.peer;
-        let row = LeadRow { lease: proposal.row, peer, caps, floors };
+        let row = LeadRow { lease: proposal.row, peer, noted, pools, floors };
         let value = match serde_json::to_vec(&row) {
             Ok(value) => Bytes::from(value),
             Err(error) => {
@@ -304,12 +350,16 @@
         };
         self.calling = true;
         if let Some(held) = &mut self.held {
-            held.renewed = now;
+            held.tried = now;
         }
         self.handles.metrics.store_calls.add(1, &[]);
         let (store, events) = (self.handles.store.clone(), self.handles.events.clone());
         tokio::spawn(async move {
-            let result = store.replace(LEAD_KEY, proposal.revision, value).await;
+            let writing = store.replace(LEAD_KEY, proposal.revision, value);
+            let result = match tokio::time::timeout(CALL_WAIT, writing).await {
+                Ok(result) => result,
+                Err(_) => Err(StoreError::Perhaps("no answer in time".to_owned())),
+            };
             // Only a process that is ending has no receiver.
             let _ = events.send(Event::Wrote(Box::new(row), result));
         });
@@ -318,7 +368,8 @@
     fn on_wrote(&mut self, row: LeadRow, result: Result<Written, StoreError>, now: Duration) {
         self.calling = false;
         match result {
-            Ok(Written::Done(version)) => {
+            Ok(Written::Done(version, clock)) => {
+                self.set_clock(clock, now);
                 self.lease.handle(LeaseEvent::Settled(Outcome::Committed(version), now));
                 self.on_recorded(version, row, now);
             }
@@ -331,6 +382,13 @@
                 self.handles.metrics.store_errors.add(1, &[]);
                 warn!(error:%, leading = self.held.is_some(); "the lease's row was not written");
                 self.lease.handle(LeaseEvent::Settled(Outcome::Unknown, now));
+                let unreachable = matches!(error, StoreError::NotDone(_));
+                if unreachable
+                    && self.held.as_ref().is_some_and(|held| now >= held.renewed + RESIGN)
+                {
+                    self.resign();
+                    return;
+                }
                 // Whether it was written is read back before the next attempt.
                 if self.lease.held(now).is_none() || !matches!(error, StoreError::NotDone(_)) {
                     self.look(now);
@@ -351,7 +409,9 @@
             self.take_over(fence, before, now);
         }
         if let Some(held) = &mut self.held {
-            held.accounts.on_recorded(&row.caps, &row.floors);
+            held.accounts.on_recorded(&row.floors);
+            held.renewed = now;
+            held.row = version;
         }
         self.row = Some((version, row));
     }
@@ -361,16 +421,20 @@
         // Without a former row there is no former giver of orders.
         let gap = settings.bounds.lease + ORDER_MARGIN;
         let orders_from = if before.is_some() { now + gap } else { now };
-        let (caps, floors) = before.map_or_else(Default::default, |row| (row.caps, row.floors));
+        let (noted, pools, floors) =
+            before.map_or_else(Default::default, |row| (row.noted, row.pools, row.floors));
+        let noted = self.local_time(noted, now);
         self.handles.metrics.leases.add(1, &[]);
         info!(fence, orders_in_ms = (orders_from - now).as_millis() as u64;
             "this VM holds the fleet's lease");
         let held = Holding {
             fence,
             orders_from,
-            accounts: Accounts::new(settings.bounds, caps, floors),
+            accounts: Accounts::new(settings.bounds, pools, noted, floors),
             places: Places::new(settings.bounds),
+            tried: now,
             renewed: now,
+            row: 0,
             version: 0,
         };
         held.places.log_start();
@@ -379,6 +443,18 @@
         self.apply(now);
     }
 
+    /// Gives up the lease while the others can still be told, so that one of them takes it soon.
+    fn resign(&mut self) {
+        let Some(held) = &self.held else { return };
+        let message = LeadMessage { fence: held.fence, resigned: true, ..LeadMessage::default() };
+        for peer in self.peers.values() {
+            // A connection that has ended says so by an event of its own.
+            let _ = peer.sender.send(message.clone());
+        }
+        self.lease.handle(LeaseEvent::Yield);
+        self.lose("the store cannot be reached");
+    }
+
     fn lose(&mut self, why: &'static str) {
         let Some(held) = self.held.take() else { return };
         warn!(fence = held.fence, why; "this VM no longer holds the fleet's lease");
@@ -428,6 +504,7 @@
         };
         answer.fence = held.fence;
         answer.sent = status.sent;
+        answer.renewed = held.row;
         answer.ceilings = held.accounts.on_status(&status, now);
         answer.floor = held.accounts.floor(&status.vm);
         answer.vms = held.accounts.vms(now) as u32;
--- a/crates/entry/src/process/lead/places.rs
+++ b/crates/entry/src/process/lead/places.rs
@@ -210,6 +210,7 @@
         domain: listed.listing.domain.clone(),
         resident: station.resident().clone(),
         loading: station.loading().cloned(),
+        coming: station.coming(),
         late: station.late_loads(now).cloned().collect(),
         near: station.near().clone(),
         idle: station.idle(),
--- a/crates/entry/src/process/lead/row.rs
+++ b/crates/entry/src/process/lead/row.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use bamboocourse_decide::{LeaseRow, Tokens, VmId, WorkspaceId};
+use bamboocourse_decide::{LeaseRow, PoolNote, VmId, WorkspaceId};
 use serde::{Deserialize, Serialize};
 
 /// The key of the row.
@@ -16,8 +16,10 @@
     pub(crate) lease: LeaseRow,
     /// Where its holder listens for other VMs.
     pub(crate) peer: SocketAddr,
-    /// What the holder may let be spent of each workspace's pool in a window.
-    pub(crate) caps: BTreeMap<WorkspaceId, Tokens>,
+    /// The store's clock when the pools were noted, in milliseconds.
+    pub(crate) noted: u64,
+    /// The workspaces' pools.
+    pub(crate) pools: BTreeMap<WorkspaceId, PoolNote>,
     /// Each VM's weight of all floors, in millionths.
     pub(crate) floors: BTreeMap<VmId, u64>,
 }
--- a/crates/entry/src/process/lead/tokens.rs
+++ b/crates/entry/src/process/lead/tokens.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    FastMap, Fleet, MILLION, Spending, TokenPool, Tokens, VmId, WorkspaceId,
+    FastMap, Fleet, MILLION, PoolNote, Spending, TokenPool, VmId, WorkspaceId,
 };
 
 use crate::process::purse::limit_of;
@@ -22,8 +22,9 @@
 pub(crate) struct Accounts {
     bounds: Bounds,
     pools: FastMap<WorkspaceId, TokenPool>,
-    /// What former holders may have let be spent, for pools that are not made yet.
-    before: BTreeMap<WorkspaceId, Tokens>,
+    /// The former holder's notes, and when on this VM's clock they were made.
+    before: BTreeMap<WorkspaceId, PoolNote>,
+    noted: Duration,
     /// The floors that the store has recorded.
     floors: BTreeMap<VmId, u64>,
     heard: FastMap<VmId, Duration>,
@@ -32,10 +33,12 @@
 impl Accounts {
     pub(crate) fn new(
         bounds: Bounds,
-        before: BTreeMap<WorkspaceId, Tokens>,
+        before: BTreeMap<WorkspaceId, PoolNote>,
+        noted: Duration,
         floors: BTreeMap<VmId, u64>,
     ) -> Self {
-        Self { bounds, pools: FastMap::default(), before, floors, heard: FastMap::default() }
+        let (pools, heard) = (FastMap::default(), FastMap::default());
+        Self { bounds, pools, before, noted, floors, heard }
     }
 
     /// Sets the limits of a configuration.
@@ -45,34 +48,36 @@
             match self.pools.get_mut(&workspace.name) {
                 Some(pool) => pool.set_limit(limit),
                 None => {
-                    let before = self.before.get(&workspace.name).copied().unwrap_or(0);
-                    let pool = TokenPool::new(limit, before, now);
+                    let note = self.before.remove(&workspace.name).unwrap_or_default();
+                    let pool = TokenPool::new(limit, &note, now.saturating_sub(self.noted), now);
                     self.pools.insert(workspace.name.clone(), pool);
                 }
             }
         }
     }
 
-    /// Returns the caps and floors to record next.
+    /// Returns the notes and floors to record next.
     pub(crate) fn next(
         &mut self,
         now: Duration,
-    ) -> (BTreeMap<WorkspaceId, Tokens>, BTreeMap<VmId, u64>) {
-        let mut caps = self.before.clone();
+    ) -> (BTreeMap<WorkspaceId, PoolNote>, BTreeMap<VmId, u64>) {
+        let mut notes = self.before.clone();
         for (name, pool) in &mut self.pools {
-            caps.insert(name.clone(), pool.next_cap(now));
+            notes.insert(name.clone(), pool.next_note(now));
         }
-        (caps, self.next_floors(now))
+        (notes, self.next_floors(now))
+    }
+
+    /// Tells whether a ceiling is held back until the next record.
+    pub(crate) fn wants_record(&self) -> bool {
+        let unplaced = self.heard.keys().any(|vm| !self.floors.contains_key(vm));
+        unplaced || self.pools.values().any(TokenPool::wants_record)
     }
 
     /// Notes what the store has recorded.
-    pub(crate) fn on_recorded(
-        &mut self,
-        caps: &BTreeMap<WorkspaceId, Tokens>,
-        floors: &BTreeMap<VmId, u64>,
-    ) {
-        for (name, pool) in &mut self.pools {
-            pool.set_cap(caps.get(name).copied().unwrap_or(0));
+    pub(crate) fn on_recorded(&mut self, floors: &BTreeMap<VmId, u64>) {
+        for pool in self.pools.values_mut() {
+            pool.on_recorded();
         }
         self.floors = floors.clone();
     }
@@ -84,8 +89,13 @@
         let mut ceilings = Vec::new();
         for spend in &status.spends {
             let Some(pool) = self.pools.get_mut(spend.workspace.as_str()) else { continue };
-            let said = Spending { spent: spend.spent, wanted: spend.wanted };
-            let ceiling = pool.on_report(&vm, status.life, said, now);
+            let said = Spending {
+                spent: spend.spent,
+                wanted: spend.wanted,
+                ceiling: spend.ceiling,
+                recent: spend.recent.clone(),
+            };
+            let ceiling = pool.on_report(&vm, status.life, &said, now);
             ceilings.push(Ceiling {
                 workspace: spend.workspace.clone(),
                 tokens: ceiling.tokens,
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -30,7 +30,7 @@
 /// How long the holder of the lease may be silent before its connection is given up.
 const SILENCE: Duration = Duration::from_millis(1_300);
 /// The pause before a new connection is tried.
-const PAUSE: Duration = Duration::from_millis(250);
+const PAUSE: Duration = Duration::from_millis(600);
 
 /// What a VM's reports are made of, and where their answers go.
 #[derive(Clone)]
@@ -145,7 +145,8 @@
                 Some(address) => {
                     self.report_to(address).await;
                     let _ = self.events.send(Event::Lost);
-                    tokio::time::sleep(PAUSE).await;
+                    // The row says soon who holds it now; until then the same VM is tried again.
+                    let _ = tokio::time::timeout(PAUSE, self.leader.changed()).await;
                 }
             }
         }
@@ -169,7 +170,7 @@
                     continue;
                 }
             }
-            let _ = self.events.send(Event::Status(0, self.status(StoreVersion::MAX)));
+            let _ = self.events.send(Event::Status(0, self.status(StoreVersion::MAX, true)));
         }
     }
 
@@ -187,6 +188,7 @@
         let mut timer = Timer::new(self);
         let mut heard = Instant::now();
         let mut theirs = StoreVersion::MAX;
+        let mut whole = true;
         loop {
             tokio::select! {
                 changed = self.leader.changed() => {
@@ -201,7 +203,7 @@
                             heard = Instant::now();
                             theirs = if answer.config > 0 { answer.config } else { theirs };
                             self.apply(&answer);
-                            if answer.fence == 0 {
+                            if answer.fence == 0 || answer.resigned {
                                 info!(leader:% = address; "that VM does not hold the lease");
                                 return;
                             }
@@ -224,7 +226,8 @@
                     "the lease's holder is silent");
                 return;
             }
-            let status = self.status(theirs);
+            let status = self.status(theirs, whole);
+            whole = false;
             if framed.send(Body::Status(status)).await.is_err() {
                 return;
             }
@@ -232,7 +235,9 @@
     }
 
     /// Returns this VM's report for a holder that knows a version of the configuration.
-    fn status(&self, theirs: StoreVersion) -> Status {
+    ///
+    /// `whole` adds what only a new holder does not know.
+    fn status(&self, theirs: StoreVersion, whole: bool) -> Status {
         let (demand, adapters) = self.desk.demand();
         let row = self.board.row().filter(|row| row.version > theirs);
         Status {
@@ -244,7 +249,7 @@
             config_row: row.and_then(|row| row.value).unwrap_or_default().to_vec(),
             demand,
             adapters,
-            spends: self.purse.spends(),
+            spends: self.purse.spends(whole),
             listed: self.listing.version(),
         }
     }
@@ -266,13 +271,18 @@
                 version: row.version,
             });
             let rows = rows.collect();
-            self.listing.on_changes(&StoreRows { rows, version: answer.listed });
+            let rows = StoreRows { rows, version: answer.listed, ..StoreRows::default() };
+            self.listing.on_changes(&rows);
         }
         if answer.fence == 0 {
             return;
         }
         // Only a process that is ending has no receiver.
-        let _ = self.events.send(Event::Heard(answer.fence));
+        let _ = self.events.send(if answer.resigned {
+            Event::Resigned(answer.fence)
+        } else {
+            Event::Heard(answer.fence, answer.renewed)
+        });
         if answer.sent > 0 {
             let sent = Duration::from_millis(answer.sent);
             self.purse.set_share(answer.floor, answer.vms as usize);
--- a/crates/entry/src/process/listing.rs
+++ b/crates/entry/src/process/listing.rs
@@ -60,7 +60,7 @@
     pub(crate) fn after(&self, version: StoreVersion) -> StoreRows {
         let state = self.state();
         let rows = state.rows.values().filter(|row| row.version > version).cloned().collect();
-        StoreRows { rows, version: state.version }
+        StoreRows { rows, version: state.version, ..StoreRows::default() }
     }
 
     /// Notes that the store could not be reached.
--- a/crates/entry/src/process/purse.rs
+++ b/crates/entry/src/process/purse.rs
@@ -156,12 +156,20 @@
     }
 
     /// Returns what the holder of the pools is told.
-    pub(crate) fn spends(&self) -> Vec<Spend> {
+    ///
+    /// `whole` adds what was spent of late, for a holder that may not know.
+    pub(crate) fn spends(&self, whole: bool) -> Vec<Spend> {
         let now = boot_now();
         let mut state = self.state();
         let spends = state.spenders.iter_mut().map(|(name, spender)| {
             let said = spender.report(now);
-            Spend { workspace: name.to_string(), spent: said.spent, wanted: said.wanted }
+            Spend {
+                workspace: name.to_string(),
+                spent: said.spent,
+                wanted: said.wanted,
+                ceiling: said.ceiling,
+                recent: if whole { said.recent } else { Vec::new() },
+            }
         });
         spends.collect()
     }
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -72,6 +72,11 @@
     pub spent: u64,
     #[prost(uint64, tag = "3")]
     pub wanted: u64,
+    #[prost(uint64, tag = "4")]
+    pub ceiling: u64,
+    /// Spent of late, by parts of the window; only while the holder may not know.
+    #[prost(uint64, repeated, tag = "5")]
+    pub recent: ::prost::alloc::vec::Vec<u64>,
 }
 /// What the holder of the lease tells a VM.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -99,6 +104,12 @@
     pub rows: ::prost::alloc::vec::Vec<ListRow>,
     #[prost(uint64, tag = "10")]
     pub listed: u64,
+    /// The sender gives the lease up: it gives no more orders under its fence.
+    #[prost(bool, tag = "11")]
+    pub resigned: bool,
+    /// The version of the lease's row that the sender wrote last.
+    #[prost(uint64, tag = "12")]
+    pub renewed: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Ceiling {
