Recover after a kill of all; hand the lease over on SIGTERM; finish what was taken

Change: headroom follows demand; the row is vacated as last written and followers are told; the listener closes with the idle connections and open streams count; foreign orders are a state of their own.

--- a/crates/decide/src/process/allowance/pool.rs
+++ b/crates/decide/src/process/allowance/pool.rs
@@ -18,15 +18,15 @@
 /// Reports arrive this much after what they report was spent.
 const REPORT_LAG: Duration = Duration::from_millis(500);
 /// How many seconds of its demand a VM may run ahead: it covers a change of the lease's holder.
-const AHEAD: f64 = 4.0;
+const AHEAD: f64 = 2.5;
 /// How many seconds of its demand a VM runs ahead at least, where the pool is nearly spent.
 const AHEAD_SCARCE: f64 = 0.5;
 /// The part of the pool that must be free for VMs to run ahead fully.
 const PLENTY: f64 = 0.5;
-/// The least that a VM with demand runs ahead, so that one large request fits.
-const AHEAD_LEAST: Tokens = 4_000;
-/// The part of the pool by which a VM's ceiling may rise between two records.
-const HEADROOM: Tokens = 16;
+/// The part of the pool that a VM with demand runs ahead at least.
+const AHEAD_LEAST: Tokens = 64;
+/// How many seconds of its demand a VM's ceiling may rise between two records.
+const HEADROOM: f64 = 1.0;
 
 /// What a VM may spend.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,6 +67,8 @@
     life: Incarnation,
     spent: Tokens,
     ceiling: Tokens,
+    /// What it asked for in its last second.
+    wanted: Tokens,
     /// How far the ceiling may be raised by the store's record.
     most: Tokens,
     /// How far it may be raised once the next record is in the store.
@@ -115,13 +117,14 @@
     /// Returns the note to record before ceilings are raised further.
     pub fn next_note(&mut self, now: Duration) -> PoolNote {
         self.lapse(now);
-        let headroom = self.size / HEADROOM + AHEAD_LEAST;
+        let least = self.size / AHEAD_LEAST;
         let mut open: BTreeMap<VmId, Tokens> = BTreeMap::new();
         if now < self.unknown_until {
             open.extend(self.unknown.iter().map(|(vm, tokens)| (vm.clone(), *tokens)));
         }
         for (vm, member) in &mut self.members {
-            member.next = if member.lapsed { member.ceiling } else { member.ceiling + headroom };
+            let headroom = (member.wanted as f64 * HEADROOM) as Tokens + least;
+            member.next = member.ceiling + if member.lapsed { 0 } else { headroom };
             *open.entry(vm.clone()).or_default() += member.next - member.spent;
         }
         PoolNote { used: self.used.parts(self.part, HISTORY, now), open }
@@ -152,7 +155,7 @@
         let Some(member) = self.members.get_mut(vm) else {
             return Ceiling { tokens: 0, hungry: true };
         };
-        let least = if said.wanted > 0 { AHEAD_LEAST } else { 0 };
+        let least = if said.wanted > 0 { self.size / AHEAD_LEAST } else { 0 };
         let need = ((said.wanted as f64 * ahead) as u64).max(least);
         let open = member.ceiling - member.spent;
         let need = need.saturating_sub(open);
@@ -164,9 +167,9 @@
 
     /// Tells whether a VM's ceiling is held back by the record alone.
     pub fn wants_record(&self) -> bool {
-        let near = |member: &Member| {
-            !member.lapsed && member.most.saturating_sub(member.ceiling) < AHEAD_LEAST
-        };
+        let least = self.size / AHEAD_LEAST / 2;
+        let near =
+            |member: &Member| !member.lapsed && member.most.saturating_sub(member.ceiling) < least;
         self.members.values().any(near)
     }
 
@@ -193,6 +196,7 @@
                 life,
                 spent: said.spent,
                 ceiling,
+                wanted: said.wanted,
                 most: ceiling,
                 next: ceiling,
                 lapses: now + CEILING_TERM,
@@ -202,6 +206,7 @@
             return;
         }
         let Some(member) = self.members.get_mut(vm) else { return };
+        member.wanted = said.wanted;
         if member.lapsed {
             // Its open part was counted as spent; what it has left starts anew.
             member.spent = said.spent;
--- a/crates/decide/src/process/placement/station.rs
+++ b/crates/decide/src/process/placement/station.rs
@@ -78,6 +78,8 @@
     resident: Resident,
     near: FastSet<ModelId>,
     open: Option<Open>,
+    /// Whether an order that this giver does not know of is in progress.
+    foreign: bool,
     late: Vec<Late>,
     /// When the endpoint's report is next needed.
     ask: Option<Duration>,
@@ -114,6 +116,7 @@
             resident: Resident::default(),
             near: FastSet::default(),
             open: None,
+            foreign: false,
             late: Vec::new(),
             ask: Some(now),
         }
@@ -157,7 +160,7 @@
 
     /// Tells whether an order may be given now.
     pub fn idle(&self) -> bool {
-        self.seq.is_some() && self.open.is_none() && self.ask.is_none()
+        self.seq.is_some() && self.open.is_none() && !self.foreign && self.ask.is_none()
     }
 
     /// Tells whether the endpoint's report is needed now.
@@ -243,17 +246,13 @@
         self.seq = Some(report.seq);
         self.near = report.near;
         self.late.retain(|late| late.number >= report.seq && now < late.until);
-        if report.busy {
+        if report.busy && self.open.is_some() {
             self.ask = Some(now + ASK_EVERY);
-            self.open.get_or_insert(Open {
-                command: Command::Unload(ModelId::default()),
-                accepted: true,
-                due: now,
-            });
             return false;
         }
+        self.foreign = report.busy;
+        self.ask = report.busy.then_some(now + ASK_EVERY);
         self.open = None;
-        self.ask = None;
         let mut resident = report.resident;
         for (model, adapter) in report.coming {
             resident.entry(model).or_default().insert(adapter);
--- a/crates/entry/src/connection/callers.rs
+++ b/crates/entry/src/connection/callers.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use http::header::{CONNECTION, HeaderValue};
@@ -39,42 +38,29 @@
     Closing,
 }
 
-/// Requests and connections that are open now.
-#[derive(Debug, Default)]
-pub(crate) struct Open {
-    pub(crate) requests: AtomicUsize,
-    pub(crate) connections: AtomicUsize,
-}
-
-struct Count<'a>(&'a AtomicUsize);
-
-impl<'a> Count<'a> {
-    fn new(counter: &'a AtomicUsize) -> Self {
-        counter.fetch_add(1, Ordering::Relaxed);
-        Self(counter)
-    }
-}
-
-impl Drop for Count<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// What callers' connections need.
 #[derive(Clone)]
 pub(crate) struct Callers {
     pub(crate) pipeline: Arc<Pipeline>,
     pub(crate) board: Arc<Board>,
-    pub(crate) open: Arc<Open>,
     pub(crate) phase: watch::Receiver<Phase>,
 }
 
 impl Callers {
-    /// Accepts connections for as long as the process lives.
+    /// Accepts connections until idle ones are closed: what came later could not be finished.
     pub(crate) async fn accept(self, listener: TcpListener) {
+        let mut phase = self.phase.clone();
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                changed = phase.changed() => {
+                    if changed.is_err() || *phase.borrow_and_update() == Phase::Closing {
+                        return;
+                    }
+                    continue;
+                }
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     tokio::spawn(self.clone().serve(stream));
                 }
@@ -92,17 +78,12 @@
             warn!(error:%; "a caller's connection cannot be used");
             return;
         }
-        let open = self.open.clone();
-        let _count = Count::new(&open.connections);
         let limits = self.board.fleet().map(|fleet| fleet.limits);
         let header = limits.map_or(HEADER_DEFAULT, |limits| limits.header);
         // The library counts the wait for a next request as reading its header.
         let idle = limits.map_or(IDLE_DEFAULT, |limits| limits.idle.max(limits.wait));
         let (pipeline, phase) = (self.pipeline.clone(), self.phase.clone());
-        let counted = open.clone();
-        let service = service_fn(move |request| {
-            answer(pipeline.clone(), counted.clone(), phase.clone(), request)
-        });
+        let service = service_fn(move |request| answer(pipeline.clone(), phase.clone(), request));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(idle)
@@ -128,11 +109,9 @@
 
 async fn answer(
     pipeline: Arc<Pipeline>,
-    open: Arc<Open>,
     phase: watch::Receiver<Phase>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
-    let _count = Count::new(&open.requests);
     let mut response = pipeline.answer(request).await;
     if *phase.borrow() != Phase::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/entry/src/process/lead/mod.rs
+++ b/crates/entry/src/process/lead/mod.rs
@@ -237,7 +237,7 @@
         }
         self.ask_endpoints(now);
         self.plan(now);
-        if self.leaving || self.calling {
+        if self.calling {
             return;
         }
         match &self.held {
@@ -445,14 +445,18 @@
 
     /// Gives up the lease while the others can still be told, so that one of them takes it soon.
     fn resign(&mut self) {
+        self.tell_resigned();
+        self.lease.handle(LeaseEvent::Yield);
+        self.lose("the store cannot be reached");
+    }
+
+    fn tell_resigned(&self) {
         let Some(held) = &self.held else { return };
         let message = LeadMessage { fence: held.fence, resigned: true, ..LeadMessage::default() };
         for peer in self.peers.values() {
             // A connection that has ended says so by an event of its own.
             let _ = peer.sender.send(message.clone());
         }
-        self.lease.handle(LeaseEvent::Yield);
-        self.lose("the store cannot be reached");
     }
 
     fn lose(&mut self, why: &'static str) {
@@ -641,13 +645,17 @@
     /// Gives the lease up, so that another VM can take it at once.
     fn leave(&mut self) {
         self.leaving = true;
+        self.tell_resigned();
         let held = self.held.take();
+        // The row is replaced as it was written last.
+        let seen = self.row.as_ref().map(|(version, row)| (*version, row.lease.clone()));
+        self.lease.handle(LeaseEvent::Read(seen, boot_now()));
         if let Some(proposal) = self.lease.handle(LeaseEvent::Release) {
             info!(fence = held.map_or(0, |held| held.fence); "this VM gives the fleet's lease up");
             let lease = LeaseRow { holder: VmId::default(), ..proposal.row };
             self.propose(Proposal { revision: proposal.revision, row: lease }, boot_now());
         }
-        self.peers.clear();
+        self.peers.retain(|id, _| *id == 0);
     }
 }
 
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -30,7 +30,7 @@
 /// How long the holder of the lease may be silent before its connection is given up.
 const SILENCE: Duration = Duration::from_millis(1_300);
 /// The pause before a new connection is tried.
-const PAUSE: Duration = Duration::from_millis(600);
+const PAUSE: Duration = Duration::from_millis(900);
 
 /// What a VM's reports are made of, and where their answers go.
 #[derive(Clone)]
@@ -145,7 +145,7 @@
                 Some(address) => {
                     self.report_to(address).await;
                     let _ = self.events.send(Event::Lost);
-                    // The row says soon who holds it now; until then the same VM is tried again.
+                    // The row says soon who holds it now; if it is the same VM, it is tried again.
                     let _ = tokio::time::timeout(PAUSE, self.leader.changed()).await;
                 }
             }
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use log::{info, warn};
@@ -11,7 +11,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use crate::connection::callers::{Callers, Open, Phase};
+use crate::connection::callers::{Callers, Phase};
 use crate::connection::side::{self, Readiness, Side};
 use crate::edge::clock::unix_millis;
 use crate::edge::pool::Pool;
@@ -44,7 +44,7 @@
 pub struct EntryProcess {
     settings: Arc<EntrySettings>,
     phase: watch::Sender<Phase>,
-    open: Arc<Open>,
+    open: Arc<AtomicUsize>,
     events: mpsc::UnboundedSender<Event>,
     tasks: JoinSet<()>,
     /// Where callers connect.
@@ -75,7 +75,7 @@
             Arc::new(Listing::new(protocol.clone(), desk.clone(), events.clone(), returns));
         let (phase, phases) = watch::channel(Phase::Serving);
         let (leader, leaders) = watch::channel(None);
-        let open = Arc::new(Open::default());
+        let open = Arc::new(AtomicUsize::new(0));
         let pipeline = Arc::new(Pipeline {
             protocol: protocol.clone(),
             board: board.clone(),
@@ -83,6 +83,7 @@
             purse: purse.clone(),
             pool: pool.clone(),
             metrics: metrics.clone(),
+            open: open.clone(),
         });
         let readiness = Readiness {
             path: protocol.ready_path(),
@@ -111,7 +112,7 @@
             events: events.clone(),
             leader: leaders,
         };
-        let callers = Callers { pipeline, board: board.clone(), open: open.clone(), phase: phases };
+        let callers = Callers { pipeline, board: board.clone(), phase: phases };
         let mut tasks = JoinSet::new();
         let address = front.local_addr()?;
         tasks.spawn(callers.accept(front));
@@ -140,23 +141,21 @@
         let _ = self.events.send(Event::Leave);
         tokio::time::sleep_until(close.min(end)).await;
         self.phase.send_replace(Phase::Closing);
-        while Instant::now() < end && self.connections() > 0 {
+        // Connections without a request need not be waited for.
+        tokio::time::sleep(LOOK).await;
+        while Instant::now() < end && self.requests() > 0 {
             tokio::time::sleep(LOOK).await;
         }
-        if self.connections() > 0 {
-            warn!(vm = self.settings.vm.as_str(), requests = self.requests(),
-                connections = self.connections(); "the grace is over before all was done");
+        if self.requests() > 0 {
+            warn!(vm = self.settings.vm.as_str(), requests = self.requests();
+                "the grace is over before all was done");
         }
         self.tasks.shutdown().await;
         info!(vm = self.settings.vm.as_str(); "the VM has left");
     }
 
     fn requests(&self) -> usize {
-        self.open.requests.load(Ordering::Relaxed)
-    }
-
-    fn connections(&self) -> usize {
-        self.open.connections.load(Ordering::Relaxed)
+        self.open.load(Ordering::Relaxed)
     }
 }
 
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -12,6 +12,7 @@
 mod trace;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bamboocourse_decide::{
@@ -60,6 +61,24 @@
     pub(crate) purse: Arc<Purse>,
     pub(crate) pool: Pool,
     pub(crate) metrics: Arc<Metrics>,
+    /// The number of requests that are not answered whole yet.
+    pub(crate) open: Arc<AtomicUsize>,
+}
+
+/// Counts a request as open until it is dropped.
+pub(crate) struct OpenRequest(Arc<AtomicUsize>);
+
+impl OpenRequest {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count.clone())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// A request that has been read and admitted.
@@ -102,7 +121,7 @@
     pub(crate) async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
-        let mut trace = Trace::new(self.metrics.clone(), arrived);
+        let mut trace = Trace::new(self.metrics.clone(), OpenRequest::new(&self.open), arrived);
         let call = match self.protocol.read_call(&head) {
             Ok(call) => call,
             Err(refusal) => return self.refuse(None, &refusal, trace),
--- a/crates/entry/src/request/trace.rs
+++ b/crates/entry/src/request/trace.rs
@@ -12,13 +12,15 @@
 use super::Job;
 use crate::edge::{Call, model_name};
 use crate::process::metrics::Metrics;
+use crate::request::OpenRequest;
 
 /// The most notes that a line carries.
 const NOTES_MOST: usize = 6;
 
-/// The story of one request.
+/// The story of one request, and its place among those that are open.
 pub(super) struct Trace {
     metrics: Arc<Metrics>,
+    _open: Arc<OpenRequest>,
     arrived: Instant,
     story: Option<Box<Story>>,
 }
@@ -40,8 +42,8 @@
 }
 
 impl Trace {
-    pub(super) fn new(metrics: Arc<Metrics>, arrived: Instant) -> Self {
-        Self { metrics, arrived, story: Some(Box::default()) }
+    pub(super) fn new(metrics: Arc<Metrics>, open: OpenRequest, arrived: Instant) -> Self {
+        Self { metrics, _open: Arc::new(open), arrived, story: Some(Box::default()) }
     }
 
     pub(super) fn set_call(&mut self, call: &Call) {
@@ -111,7 +113,8 @@
     /// Takes the story out, for a stream that ends later.
     pub(super) fn take(&mut self) -> Trace {
         let story = self.story.take();
-        Trace { metrics: self.metrics.clone(), arrived: self.arrived, story }
+        let open = self._open.clone();
+        Trace { metrics: self.metrics.clone(), _open: open, arrived: self.arrived, story }
     }
 
     /// Ends a trace whose story has ended or was taken.
