Copies by expected demand; requests that can meet their aim go first

Change: wanted copies follow the rise over a load's time, a silent model's last copy makes way for a pressing one; waiting requests whose aim is lost take only idle slots; a busy endpoint is waited for.

--- a/crates/decide/src/process/placement/fleet.rs
+++ b/crates/decide/src/process/placement/fleet.rs
@@ -20,7 +20,11 @@
 /// From this many requests at once a model gets a copy in each failure domain.
 const SPREAD_FROM: f64 = 4.0;
 /// How long a model must be silent before its last copy may go.
-const SILENT: Duration = Duration::from_secs(8);
+const SILENT: Duration = Duration::from_secs(4);
+/// From this many requests at once a model may take the last copy of a silent one.
+const PRESSING: f64 = 3.0;
+/// The time over which a rise is told from chance, in seconds.
+const RISE: f64 = 2.0;
 /// How long an adapter must be unused before it makes way.
 const UNUSED: Duration = Duration::from_millis(700);
 /// How long after it was asked for a missing adapter is still loaded.
@@ -116,8 +120,10 @@
 /// The demand for one model.
 #[derive(Debug, Clone, Default)]
 struct Demand {
-    /// Requests that run or wait, smoothed.
+    /// Requests that run or wait: a rise counts at once, a fall slowly.
     level: f64,
+    /// The same, smoothed over [`RISE`].
+    slow: f64,
     /// Requests that wait because no endpoint holds it.
     waiting: f64,
     last: Option<Duration>,
@@ -151,12 +157,14 @@
         let passed = now.saturating_sub(self.updated).as_secs_f64();
         self.updated = now;
         let keep = (-passed / SMOOTH).exp();
+        let keep_slow = (-passed / RISE).exp();
         let mut seen: FastSet<ModelId> = FastSet::default();
         for (model, open, waiting) in demand {
             let entry = self.demand.entry(model.clone()).or_default();
             let level = open + waiting;
             // A rise counts at once, a fall only slowly.
             entry.level = level.max(entry.level * keep + level * (1.0 - keep));
+            entry.slow = entry.slow * keep_slow + level * (1.0 - keep_slow);
             entry.waiting = waiting;
             if level > 0.0 {
                 entry.last = Some(now);
@@ -166,6 +174,7 @@
         for (model, entry) in &mut self.demand {
             if !seen.contains(model) {
                 entry.level *= keep;
+                entry.slow *= keep_slow;
                 entry.waiting = 0.0;
             }
         }
@@ -303,7 +312,8 @@
     fn wanted(&self, model: &ModelId, engine: &FleetEngine, domains: usize, sites: usize) -> usize {
         let Some(demand) = self.demand.get(model) else { return 1 };
         let fit = f64::from(engine.slots.max(1)) * FILL;
-        let wanted = (demand.level / fit).ceil().max(1.0) as usize;
+        let load = engine.models.get(model).map_or(0.0, |spec| spec.load.as_secs_f64());
+        let wanted = (demand.expected(load) / fit).ceil().max(1.0) as usize;
         let spread = if demand.level >= SPREAD_FROM { domains } else { 1 };
         wanted.max(spread).min(sites.max(1))
     }
@@ -371,9 +381,12 @@
         sites: usize,
         now: Duration,
     ) -> Option<(f64, ModelId)> {
-        // Only a model that is asked for and held nowhere takes another's last copy.
-        let asked = self.demand.get(model).is_some_and(|demand| demand.waiting > 0.0)
-            && copies.get(model).copied().unwrap_or(0) == 0;
+        // A model that is asked for takes the last copy of one that nobody asks for.
+        let held = copies.get(model).copied().unwrap_or(0);
+        let asked = self
+            .demand
+            .get(model)
+            .is_some_and(|demand| demand.level >= PRESSING || (demand.waiting > 0.0 && held == 0));
         let mut best: Option<(f64, ModelId)> = None;
         for other in site.resident.keys() {
             let held = copies.get(other).copied().unwrap_or(0);
@@ -479,6 +492,14 @@
     }
 }
 
+impl Demand {
+    /// Returns the requests to be expected in so many seconds, if a rise goes on as it does.
+    fn expected(&self, seconds: f64) -> f64 {
+        let rise = (self.level - self.slow).max(0.0) / RISE;
+        self.level + rise * seconds
+    }
+}
+
 fn count_copies(sites: &[Site]) -> FastMap<ModelId, usize> {
     let mut copies: FastMap<ModelId, usize> = FastMap::default();
     for site in sites {
--- a/crates/decide/src/request/dispatch.rs
+++ b/crates/decide/src/request/dispatch.rs
@@ -20,8 +20,12 @@
 const SPREAD: f64 = 0.04;
 /// How much better the endpoint is that has the caller's earlier prompts.
 const FAMILIAR: f64 = 0.05;
-/// How much of a service's slots an endpoint may have queued before requests wait here.
+/// How much of its slots an endpoint may have queued before requests wait here.
 const QUEUE_PART: f64 = 0.25;
+/// How much of its slots may be taken for a request whose aim is missed anyway.
+const STALE_PART: f64 = 0.85;
+/// How much of its slots must be taken for a missing answer to be put down to load.
+const BUSY_PART: f64 = 0.8;
 /// The weight of the newest result in an endpoint's rate of failures.
 const LEARNING: f64 = 0.15;
 /// Failures in a row after which an endpoint is left alone for a while.
@@ -56,6 +60,8 @@
     pub urgency: u8,
     /// A hash of the prompt's shared part, 0 if there is none.
     pub session: u64,
+    /// Until when an answer can still meet its aim.
+    pub fresh: Duration,
     /// Endpoints that this request was already sent to.
     pub tried: Vec<EndpointId>,
 }
@@ -202,6 +208,12 @@
         self.endpoints.get(name).map(|endpoint| endpoint.listing.born)
     }
 
+    /// Tells whether an endpoint has so much to do that an answer may well take long.
+    pub fn busy(&self, name: &EndpointId, now: Duration) -> bool {
+        let endpoint = self.endpoints.get(name);
+        endpoint.is_some_and(|one| one.depth(now) >= f64::from(one.listing.slots) * BUSY_PART)
+    }
+
     /// Returns how many endpoints take work.
     pub fn ready(&self) -> usize {
         self.endpoints.values().filter(|endpoint| endpoint.listing.ready).count()
@@ -253,7 +265,7 @@
                     shortage = shortage.worse(Shortage::Tried);
                     continue;
                 }
-                None if endpoint.full(now) => {
+                None if endpoint.full(need, now) => {
                     shortage = shortage.worse(Shortage::Full);
                     continue;
                 }
@@ -330,22 +342,27 @@
     /// Picks endpoints for requests that wait, most urgent first, as long as there is room.
     pub fn pump(&mut self, now: Duration) -> Vec<(Turn, EndpointId, Need)> {
         let mut placed = Vec::new();
-        let mut stuck: FastSet<(ServiceId, Option<Wanted>)> = FastSet::default();
+        let mut stuck: FastSet<(ServiceId, Option<Wanted>, bool)> = FastSet::default();
         let mut removed = Vec::new();
         let waiting = std::mem::take(&mut self.waiting);
-        for ((urgency, turn), need) in &waiting {
-            let lane = (need.service.clone(), need.wanted.clone());
-            if stuck.contains(&lane) {
-                continue;
-            }
-            match self.pick(need, *turn, now) {
-                Ok(name) => {
-                    placed.push((*turn, name, need.clone()));
-                    removed.push((*urgency, *turn));
+        // Those that can still meet their aim go first.
+        let (fresh, stale): (Vec<_>, Vec<_>) =
+            waiting.iter().partition(|(_, need)| now <= need.fresh);
+        for (group, late) in [(fresh, false), (stale, true)] {
+            for ((urgency, turn), need) in group {
+                let lane = (need.service.clone(), need.wanted.clone(), late);
+                if stuck.contains(&lane) {
+                    continue;
                 }
-                Err(Shortage::Tried) => {}
-                Err(_) => {
-                    stuck.insert(lane);
+                match self.pick(need, *turn, now) {
+                    Ok(name) => {
+                        placed.push((*turn, name, need.clone()));
+                        removed.push((*urgency, *turn));
+                    }
+                    Err(Shortage::Tried) => {}
+                    Err(_) => {
+                        stuck.insert(lane);
+                    }
                 }
             }
         }
@@ -400,8 +417,11 @@
         (reported + f64::from(self.since.min(self.open))).max(f64::from(self.open))
     }
 
-    fn full(&self, now: Duration) -> bool {
+    fn full(&self, need: &Need, now: Duration) -> bool {
         let slots = f64::from(self.listing.slots);
+        if now > need.fresh {
+            return self.depth(now) >= (slots * STALE_PART).max(1.0);
+        }
         self.depth(now) >= slots + (slots * QUEUE_PART).max(1.0)
     }
 
--- a/crates/entry/src/process/desk.rs
+++ b/crates/entry/src/process/desk.rs
@@ -60,6 +60,11 @@
         self.desk.state().dispatcher.on_load(&self.name, load, boot_now());
     }
 
+    /// Tells whether the endpoint has so much to do that an answer may well take long.
+    pub(crate) fn busy(&self) -> bool {
+        self.desk.state().dispatcher.busy(&self.name, boot_now())
+    }
+
     /// Notes that the endpoint lacks what was asked of it.
     pub(crate) fn on_lacking(&self, wanted: &Wanted) {
         self.desk.state().dispatcher.on_lacking(&self.name, wanted);
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -26,6 +26,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use crate::edge::clock::boot_now;
 use crate::edge::pool::{Pool, read_all};
 use crate::edge::{Call, Protocol};
 use crate::process::board::Board;
@@ -48,6 +49,8 @@
 const SHED_MOST: u32 = 3;
 /// How long tokens are waited for.
 const TOKEN_WAIT: Duration = Duration::from_millis(250);
+/// What an idle endpoint takes to the first bytes of an answer.
+const FIRST_LEAST: Duration = Duration::from_millis(40);
 /// When a caller may come back where nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(500);
 /// The least time that callers of a stream wait for an event before they leave.
@@ -92,6 +95,8 @@
     pub(crate) urgency: u8,
     /// When the caller must have its final answer.
     pub(crate) deadline: Instant,
+    /// Until when on the boot clock an answer can still meet the route's aim.
+    pub(crate) fresh: Duration,
     /// When the caller leaves unless it has had something of the answer.
     pub(crate) leaves: Instant,
 }
@@ -103,6 +108,7 @@
             wanted: self.call.wanted.clone(),
             urgency: self.urgency,
             session: self.call.session,
+            fresh: self.fresh,
             tried: Vec::new(),
         }
     }
@@ -200,6 +206,7 @@
             workspace: workspace.map(|workspace| workspace.name.clone()),
             urgency,
             deadline,
+            fresh: boot_now() + route.aim.saturating_sub(arrived.elapsed() + FIRST_LEAST),
             leaves: leaves.min(deadline),
             call,
         };
--- a/crates/entry/src/request/place.rs
+++ b/crates/entry/src/request/place.rs
@@ -19,7 +19,7 @@
 /// What is added to the time that a load is expected to take.
 const LOAD_MARGIN: Duration = Duration::from_millis(250);
 /// The part of a caller's patience that may be spent waiting, in hundredths.
-const WAIT_PART: u32 = 75;
+const WAIT_PART: u32 = 50;
 
 impl Pipeline {
     /// Finds a place, after a wait if the caller is still there by then.
--- a/crates/entry/src/request/send.rs
+++ b/crates/entry/src/request/send.rs
@@ -70,8 +70,18 @@
                 return Sent::NotRun(Refusal::not_run(Kind::BadRequest, detail));
             }
         };
-        let until = self.hang_at(job, runs);
-        let sent = tokio::time::timeout_at(until, self.pool.send(place.address, request)).await;
+        let sending = self.pool.send(place.address, request);
+        tokio::pin!(sending);
+        let mut until = self.hang_at(job, runs);
+        let sent = loop {
+            let sent = tokio::time::timeout_at(until, sending.as_mut()).await;
+            // An endpoint with much to do is waited for: elsewhere there is hardly less.
+            if sent.is_err() && until < job.deadline && place.busy() {
+                until = self.hang_at(job, runs);
+                continue;
+            }
+            break sent;
+        };
         let (response, lent) = match sent {
             Ok(Ok(answer)) => answer,
             Ok(Err(SendError::NotSent(why))) => {
