--- a/crates/decide/src/process/allowance/pool.rs
+++ b/crates/decide/src/process/allowance/pool.rs
@@ -27,6 +27,10 @@
 const AHEAD_LEAST: Tokens = 64;
 /// How many seconds of its demand a VM's ceiling may rise between two records.
 const HEADROOM: f64 = 1.0;
+/// The part of the pool that any VM may be given between two records besides.
+const RESERVE: Tokens = 24;
+/// The name under which a former holder's reserve counts.
+const ANYONE: &str = "";
 
 /// What a VM may spend.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,6 +48,8 @@
     pub used: Vec<Tokens>,
     /// What each VM may spend beyond that before the next record.
     pub open: BTreeMap<VmId, Tokens>,
+    /// What any VM may spend besides, newcomers above all.
+    pub reserve: Tokens,
     /// The same of VMs that the holder has not heard of, by the record of a former holder.
     pub unheard: BTreeMap<VmId, Unheard>,
 }
@@ -69,6 +75,12 @@
     /// what they spent before is in `used`.
     unknown: FastMap<VmId, (Tokens, Duration)>,
     unknown_until: Duration,
+    /// What is left of the recorded reserve, and what it will be by the next record.
+    reserve: Tokens,
+    reserve_next: Tokens,
+    /// Whether a note was made, and whether one is in the store.
+    noted: bool,
+    recorded: bool,
     members: FastMap<VmId, Member>,
 }
 
@@ -112,6 +124,10 @@
             let at = recorded.saturating_sub(Duration::from_millis(unheard.age));
             unknown.insert(vm.clone(), (unheard.tokens, at));
         }
+        if note.reserve > 0 {
+            let entry = unknown.entry(ANYONE.into()).or_insert((0, recorded));
+            entry.0 += note.reserve;
+        }
         for (vm, open) in &note.open {
             let (tokens, at) = unknown.get(vm).copied().unwrap_or((0, recorded));
             unknown.insert(vm.clone(), (tokens + open, at));
@@ -122,6 +138,10 @@
             part,
             used,
             unknown,
+            reserve: 0,
+            reserve_next: 0,
+            noted: false,
+            recorded: false,
             unknown_until: now + CEILING_TERM + CEILING_MARGIN + span,
             members: FastMap::default(),
         }
@@ -149,14 +169,22 @@
             member.next = member.ceiling + if member.lapsed { 0 } else { headroom };
             open.insert(vm.clone(), member.next - member.spent);
         }
-        PoolNote { used: self.used.parts(self.part, HISTORY, now), open, unheard }
+        self.reserve_next = self.size / RESERVE;
+        self.noted = true;
+        let used = self.used.parts(self.part, HISTORY, now);
+        PoolNote { used, open, reserve: self.reserve_next, unheard }
     }
 
     /// Notes that the last note is in the store.
     pub fn on_recorded(&mut self) {
+        if !self.noted {
+            return;
+        }
         for member in self.members.values_mut() {
             member.most = member.next;
         }
+        self.reserve = self.reserve_next;
+        self.recorded = true;
     }
 
     /// Takes in a VM's report and returns its new ceiling.
@@ -181,12 +209,20 @@
         let need = ((said.wanted as f64 * ahead) as u64).max(least);
         let open = member.ceiling - member.spent;
         let need = need.saturating_sub(open);
-        let given = need.min(room / vms.max(2)).min(member.most.saturating_sub(member.ceiling));
+        let recorded = member.most.saturating_sub(member.ceiling);
+        let given = need.min(room / vms.max(2)).min(recorded + self.reserve);
+        self.reserve -= given.saturating_sub(recorded);
+        member.most = member.most.max(member.ceiling + given);
         member.ceiling += given;
         member.lapses = now + CEILING_TERM + CEILING_MARGIN;
         Ceiling { tokens: member.ceiling, hungry: given < need && open + given < least }
     }
 
+    /// Tells whether the store has recorded that tokens may be granted.
+    pub fn recorded(&self) -> bool {
+        self.recorded
+    }
+
     /// Tells whether a VM's ceiling is held back by the record alone.
     pub fn wants_record(&self) -> bool {
         let least = self.size / AHEAD_LEAST / 2;
--- a/crates/decide/src/process/placement/fleet.rs
+++ b/crates/decide/src/process/placement/fleet.rs
@@ -40,6 +40,9 @@
 /// The time over which demand is smoothed.
 const SMOOTH: f64 = 0.8;
 
+/// An adapter of a model.
+type Variant = (ModelId, AdapterId);
+
 /// The bound on loads from the weight store.
 #[derive(Debug, Clone)]
 pub struct Intake {
@@ -95,7 +98,7 @@
     /// The model that is being loaded.
     pub loading: Option<ModelId>,
     /// The adapter that is being loaded.
-    pub coming: Option<(ModelId, AdapterId)>,
+    pub coming: Option<Variant>,
     /// Models that late orders may still load.
     pub late: Vec<ModelId>,
     /// Models that load without the weight store.
@@ -133,8 +136,8 @@
 #[derive(Debug, Default)]
 pub struct FleetPlanner {
     demand: FastMap<ModelId, Demand>,
-    adapters: FastMap<(ModelId, AdapterId), Duration>,
-    missing: FastMap<(ModelId, AdapterId), Duration>,
+    adapters: FastMap<Variant, Duration>,
+    missing: FastMap<Variant, Duration>,
     /// Endpoints where room is being made for a model, and until when that is waited for.
     clearing: FastMap<EndpointId, (ModelId, Duration)>,
     updated: Duration,
@@ -395,7 +398,8 @@
             let spare = held > self.wanted(other, engine, domains, sites);
             let silent =
                 demand.and_then(|demand| demand.last).is_none_or(|last| now >= last + SILENT);
-            if !spare && !(asked && silent && held <= 1) {
+            let gives_way = spare || (asked && silent && held <= 1);
+            if !gives_way {
                 continue;
             }
             let last = if held <= 1 { 2.0 } else { 0.0 };
@@ -424,7 +428,7 @@
         now: Duration,
         moves: &mut Vec<Move>,
     ) {
-        let mut missing: Vec<(Duration, (ModelId, AdapterId))> =
+        let mut missing: Vec<(Duration, Variant)> =
             self.missing.iter().map(|(key, at)| (*at, key.clone())).collect();
         missing.sort();
         for (at, key) in missing {
@@ -439,7 +443,7 @@
                 continue;
             }
             let copies = count_copies(sites);
-            let mut best: Option<(f64, usize, Option<(ModelId, AdapterId)>)> = None;
+            let mut best: Option<(f64, usize, Option<Variant>)> = None;
             for (index, site) in sites.iter().enumerate() {
                 if !site.idle || !site.resident.contains_key(model) {
                     continue;
@@ -473,8 +477,8 @@
     }
 
     /// Returns the adapter of a site that was asked for the longest ago, if long enough.
-    fn unused(&self, site: &Site, now: Duration) -> Option<(Duration, (ModelId, AdapterId))> {
-        let mut oldest: Option<(Duration, (ModelId, AdapterId))> = None;
+    fn unused(&self, site: &Site, now: Duration) -> Option<(Duration, Variant)> {
+        let mut oldest: Option<(Duration, Variant)> = None;
         for (model, adapters) in &site.resident {
             for adapter in adapters {
                 let key = (model.clone(), adapter.clone());
--- a/crates/decide/src/version/fleet.rs
+++ b/crates/decide/src/version/fleet.rs
@@ -4,8 +4,8 @@
 
 use smol_str::SmolStr;
 
-use crate::ids::{ModelId, ServiceId, Tokens, VersionId, WorkspaceId};
-use crate::map::{FastMap, hash_of};
+use crate::ids::{AdapterId, ModelId, ServiceId, Tokens, VersionId, WorkspaceId};
+use crate::map::{FastMap, FastSet, hash_of};
 
 /// What a route's requests allow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -88,8 +88,8 @@
     pub load: Duration,
     /// How long it loads from an endpoint's disk.
     pub disk: Duration,
-    /// The number of its adapters.
-    pub adapters: u32,
+    /// Its adapters.
+    pub adapters: FastSet<AdapterId>,
     /// The size of an adapter, in MB.
     pub adapter: f64,
 }
--- a/crates/decide/tests/allowance.rs
+++ b/crates/decide/tests/allowance.rs
@@ -122,7 +122,7 @@
                 }
                 self.admit(index, each / 20);
             }
-            if tick % 16 == 0 {
+            if tick.is_multiple_of(16) {
                 self.record();
             }
         }
--- a/crates/decide/tests/station.rs
+++ b/crates/decide/tests/station.rs
@@ -17,7 +17,7 @@
         memory: SIZE,
         load: Duration::from_secs(3),
         disk: Duration::from_millis(600),
-        adapters: 0,
+        adapters: FastSet::default(),
         adapter: 66.0,
     };
     let models = (0..MODELS).map(|index| (model(index), spec.clone()));
--- a/crates/entry/src/connection/side.rs
+++ b/crates/entry/src/connection/side.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -13,12 +14,17 @@
 use log::warn;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::callers::Phase;
 use crate::edge::socket;
 use crate::process::board::Board;
 use crate::process::desk::Desk;
 use crate::process::metrics::Metrics;
+use crate::process::purse::Purse;
+
+/// How long a VM that hears of no holder of the lease waits before it takes connections.
+const FUNDED_WAIT: Duration = Duration::from_millis(1_500);
 
 /// What a side listener answers.
 #[derive(Clone)]
@@ -34,6 +40,8 @@
     pub(crate) path: &'static str,
     pub(crate) board: Arc<Board>,
     pub(crate) desk: Arc<Desk>,
+    pub(crate) purse: Arc<Purse>,
+    pub(crate) started: Instant,
     pub(crate) phase: watch::Receiver<Phase>,
 }
 
@@ -43,7 +51,9 @@
             return StatusCode::NOT_FOUND;
         }
         let serving = *self.phase.borrow() == Phase::Serving;
-        if serving && self.board.fleet().is_some() && self.desk.ready() > 0 {
+        // Tokens are granted by another VM; without one, the VM serves what its floor allows.
+        let funded = self.purse.funded() || self.started.elapsed() > FUNDED_WAIT;
+        if serving && funded && self.board.fleet().is_some() && self.desk.ready() > 0 {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
--- a/crates/entry/src/process/lead/mod.rs
+++ b/crates/entry/src/process/lead/mod.rs
@@ -432,7 +432,8 @@
             orders_from,
             accounts: Accounts::new(settings.bounds, pools, noted, floors),
             places: Places::new(settings.bounds),
-            tried: now,
+            // What pools may give is recorded at once.
+            tried: Duration::ZERO,
             renewed: now,
             row: 0,
             version: 0,
@@ -509,6 +510,7 @@
         answer.fence = held.fence;
         answer.sent = status.sent;
         answer.renewed = held.row;
+        answer.funded = held.version > 0 && held.accounts.funded();
         answer.ceilings = held.accounts.on_status(&status, now);
         answer.floor = held.accounts.floor(&status.vm);
         answer.vms = held.accounts.vms(now) as u32;
--- a/crates/entry/src/process/lead/tokens.rs
+++ b/crates/entry/src/process/lead/tokens.rs
@@ -71,7 +71,7 @@
     /// Tells whether a ceiling is held back until the next record.
     pub(crate) fn wants_record(&self) -> bool {
         let unplaced = self.heard.keys().any(|vm| !self.floors.contains_key(vm));
-        unplaced || self.pools.values().any(TokenPool::wants_record)
+        unplaced || !self.funded() || self.pools.values().any(TokenPool::wants_record)
     }
 
     /// Notes what the store has recorded.
@@ -105,6 +105,11 @@
         ceilings
     }
 
+    /// Tells whether tokens of every workspace may be granted.
+    pub(crate) fn funded(&self) -> bool {
+        self.pools.values().all(TokenPool::recorded)
+    }
+
     /// Returns a VM's weight of all floors.
     pub(crate) fn floor(&self, vm: &str) -> u64 {
         self.floors.get(vm).copied().unwrap_or(0)
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -285,7 +285,7 @@
         });
         if answer.sent > 0 {
             let sent = Duration::from_millis(answer.sent);
-            self.purse.set_share(answer.floor, answer.vms as usize);
+            self.purse.set_share(answer.floor, answer.vms as usize, answer.funded);
             self.purse.on_ceilings(answer.fence, &answer.ceilings, sent);
         }
         self.desk.on_held(&answer.held);
--- a/crates/entry/src/process/purse.rs
+++ b/crates/entry/src/process/purse.rs
@@ -33,6 +33,8 @@
     repeats: FastMap<ServiceId, RepeatBudget>,
     floor: u64,
     vms: usize,
+    /// Whether a holder of the pools has said that it can grant.
+    funded: bool,
 }
 
 /// VMs that share a service's repeats, until the holder of the lease has said how many there are.
@@ -58,6 +60,7 @@
             repeats: FastMap::default(),
             floor: 0,
             vms: VMS_UNKNOWN,
+            funded: false,
         };
         Self {
             state: Mutex::new(state),
@@ -140,9 +143,10 @@
     }
 
     /// Sets this VM's weight of all floors and the number of VMs.
-    pub(crate) fn set_share(&self, floor: u64, vms: usize) {
+    pub(crate) fn set_share(&self, floor: u64, vms: usize, funded: bool) {
         let mut state = self.state();
         state.vms = vms;
+        state.funded |= funded;
         if state.floor == floor {
             return;
         }
@@ -155,6 +159,11 @@
         }
     }
 
+    /// Tells whether a holder of the pools has said that it can grant.
+    pub(crate) fn funded(&self) -> bool {
+        self.state().funded
+    }
+
     /// Returns what the holder of the pools is told.
     ///
     /// `whole` adds what was spent of late, for a holder that may not know.
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -89,6 +89,8 @@
             path: protocol.ready_path(),
             board: board.clone(),
             desk: desk.clone(),
+            purse: purse.clone(),
+            started: Instant::now(),
             phase: phases.clone(),
         };
         let handles = Handles {
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -28,7 +28,7 @@
 
 use crate::edge::clock::boot_now;
 use crate::edge::pool::{Pool, read_all};
-use crate::edge::{Call, Protocol};
+use crate::edge::{Call, Protocol, model_name};
 use crate::process::board::Board;
 use crate::process::desk::{Desk, Place};
 use crate::process::metrics::Metrics;
@@ -176,6 +176,7 @@
             let refusal = Refusal::not_run(Kind::NoEndpoint, "the route has no service");
             return Err(refusal.after(COME_BACK));
         };
+        check_wanted(&fleet, service, &call)?;
         let wait = call.deadline.unwrap_or(route.timeout).min(route.timeout);
         let deadline = arrived + wait.saturating_sub(ANSWER_MARGIN);
         let leaves = if route.repeat.streams() {
@@ -355,6 +356,23 @@
     }
 }
 
+/// Checks that a service has the model and the adapter that a request asks for.
+fn check_wanted(fleet: &Fleet, service: &ServiceId, call: &Call) -> Result<(), Refusal> {
+    let Some(wanted) = &call.wanted else { return Ok(()) };
+    let service = fleet.services.get(service);
+    let Some(engine) = service.and_then(|service| service.engine.as_ref()) else { return Ok(()) };
+    let unknown = |what: &str| {
+        let detail =
+            format!("version {} has no {what} {}", fleet.version, model_name(Some(wanted)));
+        Err(Refusal::not_run(Kind::ModelUnknown, detail))
+    };
+    match (engine.models.get(&wanted.model), &wanted.adapter) {
+        (None, _) => unknown("model"),
+        (Some(model), Some(adapter)) if !model.adapters.contains(adapter) => unknown("adapter"),
+        (Some(_), _) => Ok(()),
+    }
+}
+
 /// Reads a caller's body within the limit of its size and the caller's deadline.
 async fn read_body(body: Incoming, most: usize, deadline: Instant) -> Result<Bytes, Refusal> {
     let reading = tokio::time::timeout_at(deadline, Limited::new(body, most).collect());
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -110,6 +110,9 @@
     /// The version of the lease's row that the sender wrote last.
     #[prost(uint64, tag = "12")]
     pub renewed: u64,
+    /// Whether tokens of every workspace may be granted.
+    #[prost(bool, tag = "13")]
+    pub funded: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Ceiling {
