Half of each limit lies in floors by share of demand; small ceilings ahead

Change: floors hold half of a window, raised towards each VM's share of the demand out of what nobody holds, lapsing on the VM's clock; ceilings run 1.5 s ahead and headroom is small, since floors bridge the time without a holder. The take-over of a pool is logged with its figures.

--- a/crates/decide/src/process/allowance/mod.rs
+++ b/crates/decide/src/process/allowance/mod.rs
@@ -1,19 +1,21 @@
 //! A workspace's tokens, shared by all VMs so that their sum keeps to its limit in every window.
 //!
-//! The limit of a window is cut in two. A small part lies in fixed *floors*, one for each VM, which
-//! need no word from anybody, so that a VM that is cut off goes on serving. The rest is the *pool*:
+//! The limit of a window is cut in two. One half lies in *floors*, a part for each VM by its share of
+//! the demand, which need no word from anybody: a VM that is cut off goes on serving, and a new
+//! holder of the pool finds it nearly full. The rest is the *pool*:
 //! the VM that holds the fleet's lease raises each VM's ceiling a little ahead of its demand and
 //! counts what may have been spent. Ceilings run some seconds ahead, which bridges the time without a
 //! holder. A ceiling lapses unless it is renewed, and what was not reported
 //! by then counts as spent.
 
+pub(crate) mod floors;
 pub(crate) mod pool;
 pub(crate) mod spender;
 
 use std::time::Duration;
 
 /// The part of a window's limit that lies in floors, in millionths.
-const FLOOR_PART: u64 = 200_000;
+const FLOOR_PART: u64 = 500_000;
 /// The part of the slack of a limit that is used, in millionths; the rest covers late counting.
 const SLACK_PART: u64 = 700_000;
 /// The part of the tolerated excess that is used, in millionths.
--- a/crates/decide/src/process/allowance/pool.rs
+++ b/crates/decide/src/process/allowance/pool.rs
@@ -18,15 +18,17 @@
 /// Reports arrive this much after what they report was spent.
 const REPORT_LAG: Duration = Duration::from_millis(500);
 /// How many seconds of its demand a VM may run ahead: it covers a change of the lease's holder.
-const AHEAD: f64 = 3.0;
+const AHEAD: f64 = 1.5;
 /// How many seconds of its demand a VM runs ahead at least, where the pool is nearly spent.
 const AHEAD_SCARCE: f64 = 0.5;
 /// The part of the pool that must be free for VMs to run ahead fully.
 const PLENTY: f64 = 0.2;
 /// The part of the pool that a VM with demand runs ahead at least.
-const AHEAD_LEAST: Tokens = 64;
+const AHEAD_LEAST: Tokens = 128;
 /// How many seconds of its demand a VM's ceiling may rise between two records.
-const HEADROOM: f64 = 1.0;
+const HEADROOM: f64 = 0.5;
+/// The part of the pool by which it may rise at least.
+const HEADROOM_LEAST: Tokens = 400;
 /// The part of the pool that any VM may be given between two records besides.
 const RESERVE: Tokens = 24;
 /// The name under which a former holder's reserve counts.
@@ -155,7 +157,7 @@
     /// Returns the note to record before ceilings are raised further.
     pub fn next_note(&mut self, now: Duration) -> PoolNote {
         self.lapse(now);
-        let least = self.size / AHEAD_LEAST;
+        let least = self.size / HEADROOM_LEAST;
         let mut open: BTreeMap<VmId, Tokens> = BTreeMap::new();
         let mut unheard = BTreeMap::new();
         if now < self.unknown_until {
@@ -218,6 +220,14 @@
         Ceiling { tokens: member.ceiling, hungry: given < need && open + given < least }
     }
 
+    /// Returns the pool's size, what was spent, what VMs hold, and what may have been spent unheard.
+    pub fn state(&mut self, now: Duration) -> [Tokens; 4] {
+        let open = self.members.values().map(|m| m.ceiling - m.spent).sum();
+        let unheard =
+            if now < self.unknown_until { self.unknown.values().map(|one| one.0).sum() } else { 0 };
+        [self.size, self.used.total(now), open, unheard]
+    }
+
     /// Tells whether the store has recorded that tokens may be granted.
     pub fn recorded(&self) -> bool {
         self.recorded
@@ -225,7 +235,7 @@
 
     /// Tells whether a VM's ceiling is held back by the record alone.
     pub fn wants_record(&self) -> bool {
-        let least = self.size / AHEAD_LEAST / 2;
+        let least = self.size / HEADROOM_LEAST / 2;
         let near =
             |member: &Member| !member.lapsed && member.most.saturating_sub(member.ceiling) < least;
         self.members.values().any(near)
--- a/crates/decide/src/process/allowance/spender.rs
+++ b/crates/decide/src/process/allowance/spender.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::floors::FLOOR_TERM;
 use super::{CEILING_TERM, HISTORY, Limit, MILLION};
 use crate::ids::{Fence, Tokens};
 use crate::process::window::Window;
@@ -53,6 +54,8 @@
     floor: Tokens,
     /// From when the floor may be used: one window after a restart.
     opens: Duration,
+    /// Until when it may be used without a word from the holder of the pool.
+    closes: Duration,
     floor_used: Window,
     spent: Tokens,
     recent: Window,
@@ -60,6 +63,7 @@
     until: Duration,
     fence: Fence,
     wanted: Window,
+    asked: Window,
     hungry: bool,
 }
 
@@ -72,6 +76,7 @@
     /// let window = Duration::from_secs(8);
     /// let limit = Limit { rate: 100.0, burst: 100.0, window, excess: 0.0, slack: 0 };
     /// let mut spender = Spender::new(limit, 1_000_000, Duration::ZERO);
+    /// spender.grant(1, 0, false, Duration::ZERO);
     /// assert!(spender.admit(10, Duration::ZERO).is_ok());
     /// assert!(spender.admit(10_000, Duration::ZERO).is_err());
     /// ```
@@ -80,6 +85,7 @@
             limit,
             floor: 0,
             opens,
+            closes: Duration::ZERO,
             floor_used: Window::new(limit.window),
             spent: 0,
             recent: Window::new(limit.window),
@@ -87,6 +93,7 @@
             until: Duration::ZERO,
             fence: 0,
             wanted: Window::new(DEMAND_SPAN),
+            asked: Window::new(DEMAND_SPAN),
             hungry: false,
         };
         spender.set_limit(limit, weight);
@@ -101,8 +108,9 @@
 
     /// Admits tokens, or says why not; all of them come from one window or the other.
     pub fn admit(&mut self, tokens: Tokens, now: Duration) -> Result<Admitted, Short> {
+        self.asked.add(now, tokens);
         let used = self.floor_used.total(now);
-        if now >= self.opens && used + tokens <= self.floor {
+        if now >= self.opens && now < self.closes && used + tokens <= self.floor {
             self.floor_used.add(now, tokens);
             return Ok(Admitted { floor: tokens, pool: 0 });
         }
@@ -134,6 +142,12 @@
         self.ceiling = ceiling;
         self.hungry = hungry;
         self.until = sent + CEILING_TERM;
+        self.closes = sent + FLOOR_TERM;
+    }
+
+    /// Returns the tokens asked for in the last second, from the floor or beyond.
+    pub fn asked(&mut self, now: Duration) -> Tokens {
+        self.asked.total(now)
     }
 
     /// Returns what the holder of the pool is told.
--- a/crates/decide/tests/allowance.rs
+++ b/crates/decide/tests/allowance.rs
@@ -9,6 +9,8 @@
 const VMS: usize = 4;
 const WINDOW: Duration = Duration::from_secs(8);
 const RATE: f64 = 10_000.0;
+/// Each VM's part of the floors, in millionths.
+const FLOOR: u64 = 245_000;
 
 fn limit() -> Limit {
     Limit { rate: RATE, burst: RATE, window: WINDOW, excess: 0.1, slack: 700 }
@@ -41,7 +43,7 @@
 impl World {
     fn new() -> Self {
         let vm =
-            |_| Vm { life: 1, spender: Spender::new(limit(), 80_000, Duration::ZERO), whole: true };
+            |_| Vm { life: 1, spender: Spender::new(limit(), FLOOR, Duration::ZERO), whole: true };
         Self {
             now: Duration::from_secs(100),
             vms: (0..VMS).map(vm).collect(),
@@ -91,7 +93,7 @@
     fn restart(&mut self, index: usize) {
         let vm = &mut self.vms[index];
         vm.life += 1;
-        vm.spender = Spender::new(limit(), 80_000, self.now + WINDOW);
+        vm.spender = Spender::new(limit(), FLOOR, self.now + WINDOW);
         vm.whole = true;
     }
 
--- a/crates/entry/src/process/lead/mod.rs
+++ b/crates/entry/src/process/lead/mod.rs
@@ -430,7 +430,7 @@
         let held = Holding {
             fence,
             orders_from,
-            accounts: Accounts::new(settings.bounds, pools, noted, floors),
+            accounts: Accounts::new(settings.bounds, pools, noted, floors, now),
             places: Places::new(settings.bounds),
             // What pools may give is recorded at once.
             tried: Duration::ZERO,
--- a/crates/entry/src/process/lead/tokens.rs
+++ b/crates/entry/src/process/lead/tokens.rs
@@ -4,20 +4,15 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    FastMap, Fleet, MILLION, PoolNote, Spending, TokenPool, VmId, WorkspaceId,
+    FastMap, Fleet, Floors, PoolNote, Spending, TokenPool, VmId, WorkspaceId,
 };
 
+use log::info;
+
 use crate::process::purse::limit_of;
 use crate::process::settings::Bounds;
 use crate::wire::{Ceiling, Status};
 
-/// The fewest parts that floors are cut into: the VMs of today and those that may be added.
-const FLOOR_PARTS: u64 = 12;
-/// How many more VMs than those that are known floors are cut for, in hundredths.
-const FLOOR_AHEAD: u64 = 140;
-/// How long a VM must be silent before its floor is given to another.
-const FLOOR_SILENT: Duration = Duration::from_secs(30);
-
 /// The tokens of all workspaces.
 pub(crate) struct Accounts {
     bounds: Bounds,
@@ -25,9 +20,7 @@
     /// The former holder's notes, and when on this VM's clock they were made.
     before: BTreeMap<WorkspaceId, PoolNote>,
     noted: Duration,
-    /// The floors that the store has recorded.
-    floors: BTreeMap<VmId, u64>,
-    heard: FastMap<VmId, Duration>,
+    floors: Floors,
 }
 
 impl Accounts {
@@ -36,9 +29,10 @@
         before: BTreeMap<WorkspaceId, PoolNote>,
         noted: Duration,
         floors: BTreeMap<VmId, u64>,
+        now: Duration,
     ) -> Self {
-        let (pools, heard) = (FastMap::default(), FastMap::default());
-        Self { bounds, pools, before, noted, floors, heard }
+        let floors = Floors::new(floors, now);
+        Self { bounds, pools: FastMap::default(), before, noted, floors }
     }
 
     /// Sets the limits of a configuration.
@@ -49,7 +43,11 @@
                 Some(pool) => pool.set_limit(limit),
                 None => {
                     let note = self.before.remove(&workspace.name).unwrap_or_default();
-                    let pool = TokenPool::new(limit, &note, now.saturating_sub(self.noted), now);
+                    let age = now.saturating_sub(self.noted);
+                    let mut pool = TokenPool::new(limit, &note, age, now);
+                    let [size, used, _, unheard] = pool.state(now);
+                    info!(workspace = workspace.name.as_str(), size, used, unheard,
+                        age_ms = age.as_millis() as u64; "a workspace's pool is taken over");
                     self.pools.insert(workspace.name.clone(), pool);
                 }
             }
@@ -65,13 +63,12 @@
         for (name, pool) in &mut self.pools {
             notes.insert(name.clone(), pool.next_note(now));
         }
-        (notes, self.next_floors(now))
+        (notes, self.floors.next(self.bounds.quota_window, now))
     }
 
     /// Tells whether a ceiling is held back until the next record.
     pub(crate) fn wants_record(&self) -> bool {
-        let unplaced = self.heard.keys().any(|vm| !self.floors.contains_key(vm));
-        unplaced || !self.funded() || self.pools.values().any(TokenPool::wants_record)
+        self.floors.lacking() || !self.funded() || self.pools.values().any(TokenPool::wants_record)
     }
 
     /// Notes what the store has recorded.
@@ -79,13 +76,13 @@
         for pool in self.pools.values_mut() {
             pool.on_recorded();
         }
-        self.floors = floors.clone();
+        self.floors.on_recorded(floors.clone());
     }
 
     /// Takes in a VM's report and returns its ceilings.
     pub(crate) fn on_status(&mut self, status: &Status, now: Duration) -> Vec<Ceiling> {
         let vm = VmId::new(&status.vm);
-        self.heard.insert(vm.clone(), now);
+        self.floors.on_report(&vm, status.asked, now);
         let mut ceilings = Vec::new();
         for spend in &status.spends {
             let Some(pool) = self.pools.get_mut(spend.workspace.as_str()) else { continue };
@@ -112,35 +109,11 @@
 
     /// Returns a VM's weight of all floors.
     pub(crate) fn floor(&self, vm: &str) -> u64 {
-        self.floors.get(vm).copied().unwrap_or(0)
+        self.floors.weight(vm)
     }
 
     /// Returns how many VMs have been heard of lately.
     pub(crate) fn vms(&self, now: Duration) -> usize {
-        let lately = self.heard.values().filter(|at| now < **at + self.bounds.quota_window);
-        lately.count().max(1)
-    }
-
-    fn next_floors(&self, now: Duration) -> BTreeMap<VmId, u64> {
-        let mut floors = self.floors.clone();
-        let newcomers: Vec<&VmId> =
-            self.heard.keys().filter(|vm| !floors.contains_key(*vm)).collect();
-        if newcomers.is_empty() {
-            return floors;
-        }
-        let known = (floors.len() + newcomers.len()) as u64;
-        let part = MILLION / FLOOR_PARTS.max(known * FLOOR_AHEAD / 100);
-        for vm in newcomers {
-            let taken: u64 = floors.values().sum();
-            if taken + part > MILLION {
-                let silent =
-                    |vm: &VmId| self.heard.get(vm).is_none_or(|at| now >= *at + FLOOR_SILENT);
-                let Some(gone) = floors.keys().find(|vm| silent(vm)).cloned() else { break };
-                floors.remove(&gone);
-            }
-            let taken: u64 = floors.values().sum();
-            floors.insert(vm.clone(), part.min(MILLION.saturating_sub(taken)));
-        }
-        floors
+        self.floors.vms(self.bounds.quota_window, now)
     }
 }
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -249,6 +249,7 @@
             config_row: row.and_then(|row| row.value).unwrap_or_default().to_vec(),
             demand,
             adapters,
+            asked: self.purse.asked(),
             spends: self.purse.spends(whole),
             listed: self.listing.version(),
         }
--- a/crates/entry/src/process/purse.rs
+++ b/crates/entry/src/process/purse.rs
@@ -159,6 +159,12 @@
         }
     }
 
+    /// Returns the tokens of all workspaces that were asked for in the last second.
+    pub(crate) fn asked(&self) -> Tokens {
+        let now = boot_now();
+        self.state().spenders.values_mut().map(|spender| spender.asked(now)).sum()
+    }
+
     /// Tells whether a holder of the pools has said that it can grant.
     pub(crate) fn funded(&self) -> bool {
         self.state().funded
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -41,6 +41,9 @@
     /// The version of the list of endpoints that the sender knows.
     #[prost(uint64, tag = "10")]
     pub listed: u64,
+    /// Tokens asked for in the last second, of all workspaces.
+    #[prost(uint64, tag = "11")]
+    pub asked: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Demand {
