Copies first where the weights are at hand

Cause: endpoints keep six models on disk from the start, which load in 0.6 s beside 3.2 s and do not count at the weight store; the planner hardly told the two apart, let loads of both kinds block each other, took the start of all traffic for a rise, and spread copies over domains at the store's cost. Change: a load from the store costs as much as three endpoints' slots, only such loads are bounded, victims with running requests are avoided, the first 1.5 s are no rise, a second copy replaces one a domain.

--- a/crates/decide/src/process/placement/fleet.rs
+++ b/crates/decide/src/process/placement/fleet.rs
@@ -1,9 +1,10 @@
 //! Plans which endpoint holds which model and adapter, for a demand that moves within seconds.
 //!
 //! The load pattern: few models take most requests, which ones changes every few seconds, and a
-//! load takes longer than a caller waits. So a model gets copies by the requests that run and wait
-//! for it now, on all VMs together, with room to spare; copies beyond that are only taken away to
-//! make room for another model; and the last copy of a model stays while any other may go.
+//! load from the weight store takes longer than a caller waits, one from an endpoint's own disk does
+//! not. So a model gets copies by the requests that run and wait for it now, on all VMs together,
+//! with room to spare, and first where its weights are at hand; copies beyond that are only taken
+//! away to make room for another model; and the last copy of a model stays while any other may go.
 
 use std::time::Duration;
 
@@ -17,8 +18,21 @@
 
 /// The part of an endpoint's slots that one model's requests are meant to take there.
 const FILL: f64 = 0.3;
-/// From this many requests at once a model gets a copy in each failure domain.
-const SPREAD_FROM: f64 = 4.0;
+/// From this many requests at once a model gets a second copy, lest a crash takes it away.
+const SECOND_FROM: f64 = 4.0;
+/// What a load from the weight store costs more than one from disk, in slots' parts of an endpoint.
+const STORE_COST: f64 = 3.0;
+/// What another copy in the same failure domain costs, in the same unit.
+const TOGETHER_COST: f64 = 0.3;
+/// What making room costs, and making it where requests run: an unload waits for them.
+const ROOM_COST: f64 = 0.2;
+const BUSY_COST: f64 = 1.0;
+/// What taking a model's last copy costs: less than waiting for the weight store.
+const LAST_COST: f64 = 0.8;
+/// From this many requests on one copy it counts as busy.
+const BUSY_FROM: f64 = 0.5;
+/// How long after the first demand a rise is not told from the start of all traffic.
+const STARTING: Duration = Duration::from_millis(1_500);
 /// How long a model must be silent before its last copy may go.
 const SILENT: Duration = Duration::from_secs(4);
 /// From this many requests at once a model may take the last copy of a silent one.
@@ -141,6 +155,8 @@
     /// Endpoints where room is being made for a model, and until when that is waited for.
     clearing: FastMap<EndpointId, (ModelId, Duration)>,
     updated: Duration,
+    /// When there was first any demand.
+    first: Option<Duration>,
 }
 
 impl FleetPlanner {
@@ -165,6 +181,10 @@
         for (model, open, waiting) in demand {
             let entry = self.demand.entry(model.clone()).or_default();
             let level = open + waiting;
+            let first = *self.first.get_or_insert(now);
+            if now < first + STARTING {
+                entry.slow = level;
+            }
             // A rise counts at once, a fall only slowly.
             entry.level = level.max(entry.level * keep + level * (1.0 - keep));
             entry.slow = entry.slow * keep_slow + level * (1.0 - keep_slow);
@@ -252,12 +272,10 @@
         for (model, _) in self.clearing.values() {
             *copies.entry(model.clone()).or_default() += 1;
         }
-        let domains: FastSet<&DomainId> = sites.iter().map(|site| &site.domain).collect();
-        let domains = domains.len();
         let mut short: Vec<(f64, ModelId)> = Vec::new();
         for model in engine.models.keys() {
             let held = copies.get(model).copied().unwrap_or(0);
-            let wanted = self.wanted(model, engine, domains, sites.len());
+            let wanted = self.wanted(model, engine, sites.len());
             if held < wanted {
                 let level = self.demand.get(model).map_or(0.0, |demand| demand.level);
                 let urgency = if held == 0 { 1e6 } else { 0.0 };
@@ -267,17 +285,14 @@
             }
         }
         short.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
-        let loading = sites.iter().filter(|site| site.loading.is_some()).count();
-        let loading = loading + self.clearing.len();
-        let mut running = loading;
+        let mut running = self.store_loads(sites);
         for (_, model) in short {
             let spec = &engine.models[&model];
+            // More of them at once would only take longer each.
             let most = (engine.loads * spec.load.as_secs_f64()).ceil().max(1.0) as usize;
-            if running >= most {
-                break;
-            }
+            let store = running < most && intake.open(now);
             let Some((index, victim)) =
-                self.choose_site(&model, engine, sites, &copies, domains, intake, now)
+                self.choose_site(&model, engine, sites, &copies, store, now)
             else {
                 continue;
             };
@@ -288,14 +303,14 @@
                     *copies.entry(model.clone()).or_default() += 1;
                     let until = now + CLEARING;
                     self.clearing.insert(sites[index].name.clone(), (model.clone(), until));
-                    running += 1;
+                    running += usize::from(!near);
                     (Command::Unload(victim), Duration::from_secs(1))
                 }
                 None => {
                     if !near {
                         intake.take(now);
+                        running += 1;
                     }
-                    running += 1;
                     *copies.entry(model.clone()).or_default() += 1;
                     let takes = if near { spec.disk } else { spec.load };
                     (Command::Load(model.clone()), takes)
@@ -311,14 +326,23 @@
         }
     }
 
+    /// Returns how many loads from the weight store run, or will when room is made.
+    fn store_loads(&self, sites: &[Site]) -> usize {
+        let store = |site: &&Site| {
+            let cleared = self.clearing.get(&site.name).map(|(model, _)| model);
+            site.loading.as_ref().or(cleared).is_some_and(|model| !site.near.contains(model))
+        };
+        sites.iter().filter(store).count()
+    }
+
     /// Returns how many copies a model should have.
-    fn wanted(&self, model: &ModelId, engine: &FleetEngine, domains: usize, sites: usize) -> usize {
+    fn wanted(&self, model: &ModelId, engine: &FleetEngine, sites: usize) -> usize {
         let Some(demand) = self.demand.get(model) else { return 1 };
         let fit = f64::from(engine.slots.max(1)) * FILL;
         let load = engine.models.get(model).map_or(0.0, |spec| spec.load.as_secs_f64());
         let wanted = (demand.expected(load) / fit).ceil().max(1.0) as usize;
-        let spread = if demand.level >= SPREAD_FROM { domains } else { 1 };
-        wanted.max(spread).min(sites.max(1))
+        let second = if demand.level >= SECOND_FROM { 2 } else { 1 };
+        wanted.max(second).min(sites.max(1))
     }
 
     /// Picks the endpoint for one more copy, and the model that must go first, if one must.
@@ -328,12 +352,10 @@
         engine: &FleetEngine,
         sites: &[Site],
         copies: &FastMap<ModelId, usize>,
-        domains: usize,
-        intake: &mut Intake,
+        store: bool,
         now: Duration,
     ) -> Option<(usize, Option<ModelId>)> {
         let spec = engine.models.get(model)?;
-        let store = intake.open(now);
         let mut held: FastMap<&DomainId, usize> = FastMap::default();
         for site in sites.iter().filter(|site| site.holds(model)) {
             *held.entry(&site.domain).or_default() += 1;
@@ -349,9 +371,9 @@
             }
             let free = engine.memory - site.charged(engine);
             let mut cost = self.load_of(site, engine, copies);
-            cost += held.get(&site.domain).copied().unwrap_or(0) as f64 * 0.5;
+            cost += held.get(&site.domain).copied().unwrap_or(0) as f64 * TOGETHER_COST;
             if !site.near.contains(model) {
-                cost += 1.0;
+                cost += STORE_COST;
             }
             if free >= spec.memory {
                 if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
@@ -359,13 +381,13 @@
                 }
                 continue;
             }
-            let victim = self.victim(model, site, engine, copies, domains, sites.len(), now);
+            let victim = self.victim(model, site, engine, copies, sites.len(), now);
             let Some((worth, victim)) = victim else { continue };
             let gone = engine.models.get(&victim).map_or(0.0, |spec| spec.memory);
             if free + gone < spec.memory {
                 continue;
             }
-            cost += 0.3 + worth;
+            cost += ROOM_COST + worth;
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, index, Some(victim)));
             }
@@ -380,7 +402,6 @@
         site: &Site,
         engine: &FleetEngine,
         copies: &FastMap<ModelId, usize>,
-        domains: usize,
         sites: usize,
         now: Duration,
     ) -> Option<(f64, ModelId)> {
@@ -395,15 +416,17 @@
             let held = copies.get(other).copied().unwrap_or(0);
             let demand = self.demand.get(other);
             let level = demand.map_or(0.0, |demand| demand.level);
-            let spare = held > self.wanted(other, engine, domains, sites);
+            let spare = held > self.wanted(other, engine, sites);
             let silent =
                 demand.and_then(|demand| demand.last).is_none_or(|last| now >= last + SILENT);
             let gives_way = spare || (asked && silent && held <= 1);
             if !gives_way {
                 continue;
             }
-            let last = if held <= 1 { 2.0 } else { 0.0 };
-            let worth = level / held.max(1) as f64 / f64::from(engine.slots.max(1)) + last;
+            let each = level / held.max(1) as f64;
+            let last = if held <= 1 { LAST_COST } else { 0.0 };
+            let busy = if each >= BUSY_FROM { BUSY_COST } else { 0.0 };
+            let worth = each / f64::from(engine.slots.max(1)) + last + busy;
             if best.as_ref().is_none_or(|(least, _)| worth < *least) {
                 best = Some((worth, other.clone()));
             }
