Connections to endpoints are reset when they are given up; floors are restored after a restart

Change: upstream connections are reset, never closed in order, so that a cut link forgets what it holds; the intake counts as full for a window after a take-over; the row names the machine that orders last, and that one goes on without the wait; it also notes what each VM spent of its floors, so that a restarted process goes on from there; the planner learns the demand during the wait; endpoints that VMs cannot reach are asked at once and do not count while they are silent.

--- a/crates/decide/src/process/allowance/floors.rs
+++ b/crates/decide/src/process/allowance/floors.rs
@@ -8,8 +8,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::MILLION;
-use crate::ids::{Tokens, VmId};
+use crate::ids::{Tokens, VmId, WorkspaceId};
 use crate::map::FastMap;
 
 /// How long a VM may use its floor without a word from the holder of the pool.
@@ -31,6 +33,40 @@
 /// The least raise, in millionths: each one is written to the store.
 const RAISE_LEAST: u64 = 10_000;
 
+/// What a VM had spent of its floors, for a process that starts after it.
+///
+/// Coarse on purpose: it is written with every record of every VM.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct FloorPast {
+    /// When that was on the store's clock, in milliseconds.
+    pub at: u64,
+    /// By workspace: a unit in tokens, and parts of the window in that unit, the latest first.
+    pub spent: BTreeMap<WorkspaceId, (Tokens, Vec<u8>)>,
+}
+
+impl FloorPast {
+    /// Adds a workspace's parts, rounded up.
+    ///
+    /// ```
+    /// use bamboocourse_decide::FloorPast;
+    /// let mut past = FloorPast::default();
+    /// past.set("desk".into(), &[1_000, 10]);
+    /// assert!(past.parts("desk").iter().zip([1_000, 10]).all(|(kept, spent)| *kept >= spent));
+    /// ```
+    pub fn set(&mut self, workspace: WorkspaceId, parts: &[Tokens]) {
+        let most = parts.iter().copied().max().unwrap_or(0);
+        let unit = most.div_ceil(u64::from(u8::MAX)).max(1);
+        let coarse = parts.iter().map(|part| part.div_ceil(unit) as u8).collect();
+        self.spent.insert(workspace, (unit, coarse));
+    }
+
+    /// Returns a workspace's parts.
+    pub fn parts(&self, workspace: &str) -> Vec<Tokens> {
+        let Some((unit, parts)) = self.spent.get(workspace) else { return Vec::new() };
+        parts.iter().map(|part| u64::from(*part) * unit).collect()
+    }
+}
+
 /// The weights of all floors, in millionths of the whole.
 #[derive(Debug, Clone, Default)]
 pub struct Floors {
--- a/crates/decide/src/process/allowance/spender.rs
+++ b/crates/decide/src/process/allowance/spender.rs
@@ -145,6 +145,29 @@
         self.closes = sent + FLOOR_TERM;
     }
 
+    /// Returns what was spent of the floor of late, by parts of the window, the latest first.
+    pub fn floor_parts(&self, now: Duration) -> Vec<Tokens> {
+        self.floor_used.parts(self.limit.window / HISTORY, HISTORY, now)
+    }
+
+    /// Takes in what a former process had spent of the floor so long ago, and opens the floor.
+    ///
+    /// What it may have spent since counts as if it were spent now: all that was left.
+    pub fn restore(&mut self, parts: &[Tokens], age: Duration, now: Duration) {
+        if now >= self.opens || self.floor == 0 {
+            return;
+        }
+        let part = self.limit.window / HISTORY;
+        let mut window = Window::new(self.limit.window);
+        for (index, tokens) in parts.iter().enumerate().rev() {
+            window.add(now.saturating_sub(age + part * index as u32), *tokens);
+        }
+        let left = self.floor.saturating_sub(window.total(now));
+        window.add(now, left.saturating_sub(self.floor_used.total(now)));
+        self.floor_used = window;
+        self.opens = now;
+    }
+
     /// Returns the tokens asked for in the last second, from the floor or beyond.
     pub fn asked(&mut self, now: Duration) -> Tokens {
         self.asked.total(now)
--- a/crates/decide/src/process/placement/fleet.rs
+++ b/crates/decide/src/process/placement/fleet.rs
@@ -43,6 +43,8 @@
 const UNUSED: Duration = Duration::from_millis(700);
 /// How long after it was asked for a missing adapter is still loaded.
 const ASKED: Duration = Duration::from_secs(2);
+/// How long an unload is expected to take: its runs end first.
+const ROOM_TIME: Duration = Duration::from_secs(1);
 /// How long an adapter takes to load where few are under way.
 const ADAPTER_TIME: Duration = Duration::from_millis(10);
 /// Loads from the weight store that are kept back in each window for late ones.
@@ -94,6 +96,11 @@
         true
     }
 
+    /// Counts as many loads as the bound allows: what a former giver of orders began is not known.
+    pub fn fill(&mut self, now: Duration) {
+        while self.take(now) {}
+    }
+
     /// Tells whether the bound allows another load.
     pub fn open(&mut self, now: Duration) -> bool {
         self.begun.total(now) as f64 + 1.0 <= self.bound
@@ -304,7 +311,7 @@
                     let until = now + CLEARING;
                     self.clearing.insert(sites[index].name.clone(), (model.clone(), until));
                     running += usize::from(!near);
-                    (Command::Unload(victim), Duration::from_secs(1))
+                    (Command::Unload(victim), ROOM_TIME)
                 }
                 None => {
                     if !near {
@@ -456,12 +463,7 @@
         missing.sort();
         for (at, key) in missing {
             let (model, adapter) = &key;
-            let held = |site: &Site| {
-                let resident = site.resident.get(model);
-                resident.is_some_and(|adapters| adapters.contains(adapter))
-                    || site.coming.as_ref().is_some_and(|coming| *coming == key)
-            };
-            if now > at + ASKED || sites.iter().any(held) {
+            if now > at + ASKED || sites.iter().any(|site| site.has(&key)) {
                 self.missing.remove(&key);
                 continue;
             }
@@ -538,6 +540,13 @@
 }
 
 impl Site {
+    /// Tells whether it holds an adapter, or will within moments.
+    fn has(&self, variant: &Variant) -> bool {
+        let resident = self.resident.get(&variant.0);
+        resident.is_some_and(|adapters| adapters.contains(&variant.1))
+            || self.coming.as_ref() == Some(variant)
+    }
+
     fn holds(&self, model: &ModelId) -> bool {
         self.resident.contains_key(model) || self.loading.as_ref() == Some(model)
     }
--- a/crates/decide/src/process/placement/station.rs
+++ b/crates/decide/src/process/placement/station.rs
@@ -81,6 +81,8 @@
     /// Whether an order that this giver does not know of is in progress.
     foreign: bool,
     late: Vec<Late>,
+    /// Whether it did not report when it was last asked.
+    down: bool,
     /// When the endpoint's report is next needed.
     ask: Option<Duration>,
 }
@@ -118,6 +120,7 @@
             open: None,
             foreign: false,
             late: Vec::new(),
+            down: false,
             ask: Some(now),
         }
     }
@@ -238,6 +241,7 @@
         if report.born != self.born {
             self.on_born(report.born, now);
         }
+        self.down = false;
         if self.seq.is_some_and(|seq| report.seq < seq) {
             // Older than the last answer.
             self.ask = Some(now + REPORT_AGE);
@@ -293,11 +297,29 @@
         }
     }
 
-    /// Puts off the next report after one that did not come.
+    /// Notes that a report is asked for; the next one is due later.
+    pub fn on_asked(&mut self, now: Duration) {
+        self.ask = Some(now + ASK_EVERY);
+    }
+
+    /// Notes that no report came; until one does, nothing that it holds can be counted on.
     pub fn on_no_report(&mut self, now: Duration) {
+        self.down = true;
         self.ask = Some(now + ASK_EVERY);
     }
 
+    /// Asks for a report soon, since a VM could not reach the endpoint.
+    pub fn suspect(&mut self, now: Duration) {
+        if !self.down && self.ask.is_none() {
+            self.ask = Some(now);
+        }
+    }
+
+    /// Tells whether it did not report when it was last asked.
+    pub fn down(&self) -> bool {
+        self.down
+    }
+
     fn pass(&mut self, reply: Reply) {
         let counts = match (&self.open, reply) {
             (_, Reply::Accepted) => true,
--- a/crates/entry/src/edge/pool.rs
+++ b/crates/entry/src/edge/pool.rs
@@ -1,4 +1,7 @@
 //! Kept connections to endpoints and to the store.
+//!
+//! Closing one resets it: what a cut link still holds of a request that was given up, an order above
+//! all, must not arrive once the link has healed.
 
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
@@ -137,6 +140,7 @@
     async fn connect(&self, address: SocketAddr) -> Result<Sender, SendError> {
         let stream = socket::connect(self.local, address)
             .await
+            .and_then(socket::Abrupt::new)
             .map_err(|error| SendError::NotSent(error.to_string()))?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
--- a/crates/entry/src/process/desk.rs
+++ b/crates/entry/src/process/desk.rs
@@ -36,6 +36,7 @@
     open: FastMap<(ServiceId, ModelId), u32>,
     refused: FastMap<(ServiceId, ModelId), u32>,
     adapters: FastMap<(ServiceId, Wanted), bool>,
+    unreached: FastSet<EndpointId>,
     turns: Turn,
 }
 
@@ -76,6 +77,10 @@
         let now = boot_now();
         let mut state = self.desk.state();
         state.dispatcher.finish(&self.name, self.ending, now);
+        if self.ending == Ending::Gone {
+            state.unreached.insert(self.name.clone());
+            self.desk.lacking.notify_one();
+        }
         if let Some(model) = &self.model
             && let Some(open) = state.open.get_mut(model)
         {
@@ -114,6 +119,7 @@
             open: FastMap::default(),
             refused: FastMap::default(),
             adapters: FastMap::default(),
+            unreached: FastSet::default(),
             turns: 0,
         };
         Self { state: Mutex::new(state), lacking: Notify::new() }
@@ -244,6 +250,11 @@
         drop(unclaimed);
     }
 
+    /// Returns the endpoints that could not be reached since the last call.
+    pub(crate) fn unreached(&self) -> Vec<String> {
+        self.state().unreached.drain().map(Into::into).collect()
+    }
+
     /// Returns what the holder of the lease must know, and begins to count anew.
     pub(crate) fn demand(&self) -> (Vec<Demand>, Vec<AdapterUse>) {
         let mut state = self.state();
--- a/crates/entry/src/process/lead/mod.rs
+++ b/crates/entry/src/process/lead/mod.rs
@@ -333,6 +333,12 @@
     fn propose(&mut self, proposal: Proposal, now: Duration) {
         let former = self.row.as_ref().map(|(_, row)| row);
         let clock = (now.as_millis() as i64 + self.offset).max(0) as u64;
+        let offset = self.offset;
+        let to_store = |at: Duration| (at.as_millis() as i64 + offset).max(0) as u64;
+        let past = match &self.held {
+            Some(held) => held.accounts.past(to_store),
+            None => former.map_or_else(Default::default, |row| row.past.clone()),
+        };
         let (noted, (pools, floors)) = match &mut self.held {
             Some(held) => (clock, held.accounts.next(now)),
             None => former.map_or_else(Default::default, |row| {
@@ -340,7 +346,18 @@
             }),
         };
         let peer = self.handles.settings.peer;
-        let row = LeadRow { lease: proposal.row, peer, noted, pools, floors };
+        let orderer = match (&self.held, former) {
+            // Whoever only claims the lease has given no orders under it.
+            (None, Some(former)) => (former.orderer.clone(), former.orders_from),
+            (None, None) => (VmId::default(), 0),
+            (Some(held), _) => {
+                let from = held.orders_from.as_millis() as i64 + self.offset;
+                (self.handles.settings.vm.clone(), from.max(0) as u64)
+            }
+        };
+        let (orderer, orders_from) = orderer;
+        let row =
+            LeadRow { lease: proposal.row, peer, noted, pools, floors, past, orderer, orders_from };
         let value = match serde_json::to_vec(&row) {
             Ok(value) => Bytes::from(value),
             Err(error) => {
@@ -418,20 +435,34 @@
 
     fn take_over(&mut self, fence: Fence, before: Option<LeadRow>, now: Duration) {
         let settings = &self.handles.settings;
-        // Without a former row there is no former giver of orders.
         let gap = settings.bounds.lease + ORDER_MARGIN;
-        let orders_from = if before.is_some() { now + gap } else { now };
-        let (noted, pools, floors) =
-            before.map_or_else(Default::default, |row| (row.noted, row.pools, row.floors));
+        let orders_from = match &before {
+            // Without a former row there is no former giver of orders.
+            None => now,
+            // This machine gave the last orders itself; its former wait holds on.
+            Some(row) if row.orderer == settings.vm => {
+                now.max(self.local_time(row.orders_from, now + gap))
+            }
+            Some(_) => now + gap,
+        };
+        let taken = before.as_ref().map(|_| now);
+        let (noted, pools, floors, past) = before
+            .map_or_else(Default::default, |row| (row.noted, row.pools, row.floors, row.past));
         let noted = self.local_time(noted, now);
+        // No process has the life 0: whoever reports next is told of its former one.
+        let past = past.into_iter().map(|(vm, past)| {
+            let at = self.local_time(past.at, now);
+            (vm, (0, at, past))
+        });
+        let past = past.collect();
         self.handles.metrics.leases.add(1, &[]);
         info!(fence, orders_in_ms = (orders_from - now).as_millis() as u64;
             "this VM holds the fleet's lease");
         let held = Holding {
             fence,
             orders_from,
-            accounts: Accounts::new(settings.bounds, pools, noted, floors, now),
-            places: Places::new(settings.bounds),
+            accounts: Accounts::new(settings.bounds, pools, noted, floors, past, now),
+            places: Places::new(settings.bounds, taken),
             // What pools may give is recorded at once.
             tried: Duration::ZERO,
             renewed: now,
@@ -512,9 +543,14 @@
         answer.renewed = held.row;
         answer.funded = held.version > 0 && held.accounts.funded();
         answer.ceilings = held.accounts.on_status(&status, now);
+        if let Some((past, age)) = held.accounts.on_floors(&status, now) {
+            answer.past = past;
+            answer.past_age = age.as_millis() as u64;
+        }
         answer.floor = held.accounts.floor(&status.vm);
         answer.vms = held.accounts.vms(now) as u32;
         let vm = VmId::new(&status.vm);
+        held.places.on_unreached(&status.unreached, now);
         let missing = held.places.on_demand(&vm, status.demand, &status.adapters, now);
         if let Some(known) = self.peers.get_mut(&peer)
             && now >= known.told + TELL_ALL
@@ -577,10 +613,8 @@
         let (Some(held), Some(fleet)) = (&mut self.held, self.handles.board.fleet()) else {
             return;
         };
-        if self.leaving || now < held.orders_from || now + ORDER_LEAST >= until {
-            return;
-        }
-        let orders = held.places.plan(&fleet, now);
+        let may_order = !self.leaving && now >= held.orders_from && now + ORDER_LEAST < until;
+        let orders = held.places.plan(&fleet, may_order, now);
         let fence = held.fence;
         self.tell_changes();
         for order in orders {
--- a/crates/entry/src/process/lead/places.rs
+++ b/crates/entry/src/process/lead/places.rs
@@ -23,6 +23,8 @@
     changed: FastSet<EndpointId>,
     due: FastMap<EndpointId, Duration>,
     bounds: Bounds,
+    /// When this VM took the lease after another process; none if it is the first.
+    taken: Option<Duration>,
 }
 
 /// An order to be sent.
@@ -33,7 +35,7 @@
 }
 
 impl Places {
-    pub(crate) fn new(bounds: Bounds) -> Self {
+    pub(crate) fn new(bounds: Bounds, taken: Option<Duration>) -> Self {
         Self {
             stations: FastMap::default(),
             planners: FastMap::default(),
@@ -41,6 +43,7 @@
             changed: FastSet::default(),
             due: FastMap::default(),
             bounds,
+            taken,
         }
     }
 
@@ -94,13 +97,22 @@
         missing
     }
 
+    /// Takes in the endpoints that a VM could not reach.
+    pub(crate) fn on_unreached(&mut self, names: &[String], now: Duration) {
+        for name in names {
+            if let Some((station, _)) = self.stations.get_mut(name.as_str()) {
+                station.suspect(now);
+            }
+        }
+    }
+
     /// Returns the endpoints whose report is needed.
     pub(crate) fn questions(&mut self, now: Duration) -> Vec<EndpointId> {
         let mut names = Vec::new();
         for (name, (station, _)) in &mut self.stations {
             station.tick(now);
             if station.asks(now) {
-                station.on_no_report(now);
+                station.on_asked(now);
                 names.push(name.clone());
             }
         }
@@ -131,22 +143,32 @@
         }
     }
 
-    /// Plans the orders to give now and begins them.
-    pub(crate) fn plan(&mut self, fleet: &Fleet, now: Duration) -> Vec<Due> {
+    /// Takes in the demand of all VMs, and plans the orders to give now if they may be given.
+    pub(crate) fn plan(&mut self, fleet: &Fleet, may_order: bool, now: Duration) -> Vec<Due> {
         let mut orders = Vec::new();
         for (name, service) in &fleet.services {
             let Some(engine) = &service.engine else { continue };
-            let bounds = &self.bounds;
+            let (bounds, taken) = (&self.bounds, self.taken);
             let (planner, intake) = self.planners.entry(name.clone()).or_insert_with(|| {
                 let intake = Intake::new(bounds.intake_window, bounds.intake_excess);
                 (FleetPlanner::default(), intake)
             });
             intake.set_rate(engine.loads);
+            if let Some(taken) = taken.filter(|taken| now < *taken + bounds.intake_window) {
+                // Until its loads have left the window, the former holder's count in full.
+                intake.fill(taken);
+            }
             planner.on_demand(total_demand(&self.demand, name, now), now);
+            if !may_order {
+                continue;
+            }
             let mut sites: Vec<Site> = self
                 .stations
                 .iter()
-                .filter(|(_, (_, listed))| listed.listing.service == *name && listed.listing.ready)
+                .filter(|(_, (station, listed))| {
+                    let own = listed.listing.service == *name;
+                    own && listed.listing.ready && !station.down()
+                })
                 .map(|(name, (station, listed))| site(name, station, listed, now))
                 .collect();
             sites.sort_by(|a, b| a.name.cmp(&b.name));
--- a/crates/entry/src/process/lead/row.rs
+++ b/crates/entry/src/process/lead/row.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use bamboocourse_decide::{LeaseRow, PoolNote, VmId, WorkspaceId};
+use bamboocourse_decide::{FloorPast, LeaseRow, PoolNote, VmId, WorkspaceId};
 use serde::{Deserialize, Serialize};
 
 /// The key of the row.
@@ -20,6 +20,12 @@
     pub(crate) noted: u64,
     /// The workspaces' pools.
     pub(crate) pools: BTreeMap<WorkspaceId, PoolNote>,
+    /// The machine that may have given the last orders, which goes on without a wait.
+    pub(crate) orderer: VmId,
+    /// From when on the store's clock it may give them, in milliseconds.
+    pub(crate) orders_from: u64,
+    /// What each VM has spent of its floors of late.
+    pub(crate) past: BTreeMap<VmId, FloorPast>,
     /// Each VM's weight of all floors, in millionths.
     pub(crate) floors: BTreeMap<VmId, u64>,
 }
--- a/crates/entry/src/process/lead/tokens.rs
+++ b/crates/entry/src/process/lead/tokens.rs
@@ -4,14 +4,15 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    FastMap, Fleet, Floors, PoolNote, Spending, TokenPool, VmId, WorkspaceId,
+    FastMap, Fleet, FloorPast, Floors, Incarnation, PoolNote, Spending, TokenPool, VmId,
+    WorkspaceId,
 };
 
 use log::info;
 
 use crate::process::purse::limit_of;
 use crate::process::settings::Bounds;
-use crate::wire::{Ceiling, Status};
+use crate::wire::{Ceiling, FloorSpend, Status};
 
 /// The tokens of all workspaces.
 pub(crate) struct Accounts {
@@ -21,18 +22,24 @@
     before: BTreeMap<WorkspaceId, PoolNote>,
     noted: Duration,
     floors: Floors,
+    /// What each VM's process said it spent of its floors, on this VM's clock.
+    past: FastMap<VmId, (Incarnation, Duration, FloorPast)>,
 }
 
+/// What a VM that has started anew is told of its former process.
+pub(crate) type Past = (Vec<FloorSpend>, Duration);
+
 impl Accounts {
     pub(crate) fn new(
         bounds: Bounds,
         before: BTreeMap<WorkspaceId, PoolNote>,
         noted: Duration,
         floors: BTreeMap<VmId, u64>,
+        past: FastMap<VmId, (Incarnation, Duration, FloorPast)>,
         now: Duration,
     ) -> Self {
         let floors = Floors::new(floors, now);
-        Self { bounds, pools: FastMap::default(), before, noted, floors }
+        Self { bounds, pools: FastMap::default(), before, noted, floors, past }
     }
 
     /// Sets the limits of a configuration.
@@ -66,6 +73,37 @@
         (notes, self.floors.next(self.bounds.quota_window, now))
     }
 
+    /// Returns what each VM had spent of its floors, with the store's clock at a time of this one.
+    pub(crate) fn past(&self, clock: impl Fn(Duration) -> u64) -> BTreeMap<VmId, FloorPast> {
+        let past = self
+            .past
+            .iter()
+            .map(|(vm, (_, at, past))| (vm.clone(), FloorPast { at: clock(*at), ..past.clone() }));
+        past.collect()
+    }
+
+    /// Keeps what a VM says of its floors; returns what its former process said, if it is new.
+    pub(crate) fn on_floors(&mut self, status: &Status, now: Duration) -> Option<Past> {
+        let vm = VmId::new(&status.vm);
+        let former = self.past.get(&vm).filter(|(life, ..)| *life != status.life);
+        let told = former.map(|(_, at, past)| {
+            let spends = past.spent.keys().map(|workspace| FloorSpend {
+                workspace: workspace.to_string(),
+                parts: past.parts(workspace),
+            });
+            (spends.collect(), now.saturating_sub(*at))
+        });
+        let mut past = FloorPast::default();
+        for spend in &status.floors {
+            past.set(WorkspaceId::new(&spend.workspace), &spend.parts);
+        }
+        // A process without a configuration has not been told yet.
+        if !status.floors.is_empty() {
+            self.past.insert(vm, (status.life, now, past));
+        }
+        told.filter(|_| !status.floors.is_empty())
+    }
+
     /// Tells whether a ceiling is held back until the next record.
     pub(crate) fn wants_record(&self) -> bool {
         self.floors.lacking() || !self.funded() || self.pools.values().any(TokenPool::wants_record)
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -251,6 +251,8 @@
             adapters,
             asked: self.purse.asked(),
             spends: self.purse.spends(whole),
+            unreached: self.desk.unreached(),
+            floors: self.purse.floor_spends(),
             listed: self.listing.version(),
         }
     }
@@ -287,6 +289,10 @@
         if answer.sent > 0 {
             let sent = Duration::from_millis(answer.sent);
             self.purse.set_share(answer.floor, answer.vms as usize, answer.funded);
+            if !answer.past.is_empty() {
+                let age = Duration::from_millis(answer.past_age);
+                self.purse.on_past(&answer.past, age);
+            }
             self.purse.on_ceilings(answer.fence, &answer.ceilings, sent);
         }
         self.desk.on_held(&answer.held);
--- a/crates/entry/src/process/purse.rs
+++ b/crates/entry/src/process/purse.rs
@@ -11,7 +11,7 @@
 
 use crate::edge::clock::boot_now;
 use crate::process::settings::Bounds;
-use crate::wire::{Ceiling, Spend};
+use crate::wire::{Ceiling, FloorSpend, Spend};
 
 /// What this VM may admit and repeat.
 #[derive(Debug)]
@@ -159,6 +159,28 @@
         }
     }
 
+    /// Returns what was spent of the floors of late.
+    pub(crate) fn floor_spends(&self) -> Vec<FloorSpend> {
+        let now = boot_now();
+        let state = self.state();
+        let spends = state.spenders.iter().map(|(name, spender)| FloorSpend {
+            workspace: name.to_string(),
+            parts: spender.floor_parts(now),
+        });
+        spends.collect()
+    }
+
+    /// Takes in what the former process of this VM had spent of its floors.
+    pub(crate) fn on_past(&self, past: &[FloorSpend], age: Duration) {
+        let now = boot_now();
+        let mut state = self.state();
+        for one in past {
+            if let Some(spender) = state.spenders.get_mut(one.workspace.as_str()) {
+                spender.restore(&one.parts, age, now);
+            }
+        }
+    }
+
     /// Returns the tokens of all workspaces that were asked for in the last second.
     pub(crate) fn asked(&self) -> Tokens {
         let now = boot_now();
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -44,6 +44,20 @@
     /// Tokens asked for in the last second, of all workspaces.
     #[prost(uint64, tag = "11")]
     pub asked: u64,
+    /// Endpoints that could not be reached since the last report.
+    #[prost(string, repeated, tag = "12")]
+    pub unreached: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Spent of the floors of late, by workspace; not in every report.
+    #[prost(message, repeated, tag = "13")]
+    pub floors: ::prost::alloc::vec::Vec<FloorSpend>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FloorSpend {
+    #[prost(string, tag = "1")]
+    pub workspace: ::prost::alloc::string::String,
+    /// By parts of the window, the latest first.
+    #[prost(uint64, repeated, tag = "2")]
+    pub parts: ::prost::alloc::vec::Vec<u64>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Demand {
@@ -116,6 +130,11 @@
     /// Whether tokens of every workspace may be granted.
     #[prost(bool, tag = "13")]
     pub funded: bool,
+    /// What the VM's former process had spent of its floors, and how long ago that was.
+    #[prost(message, repeated, tag = "14")]
+    pub past: ::prost::alloc::vec::Vec<FloorSpend>,
+    #[prost(uint64, tag = "15")]
+    pub past_age: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Ceiling {
--- a/crates/entry/src/wire/mod.rs
+++ b/crates/entry/src/wire/mod.rs
@@ -9,7 +9,7 @@
 
 pub(crate) use fleet::frame::Body;
 pub(crate) use fleet::{
-    AdapterUse, Ceiling, Demand, Frame, Held, HeldModel, Lead, ListRow, Spend, Status,
+    AdapterUse, Ceiling, Demand, FloorSpend, Frame, Held, HeldModel, Lead, ListRow, Spend, Status,
 };
 
 /// The largest frame between VMs, in bytes: a configuration with many routes.
