Grown sites: pool tokens on thin fleets, the list of endpoints relayed by the lease's holder

Change: above 20 VMs nothing lies in floors, what no floor holds lies in the pools, a request for tokens may take a fifth of what is left; followers take changes of the list from the holder; reports leave out what has not changed.

--- a/crates/decide/src/process/allowance/floors.rs
+++ b/crates/decide/src/process/allowance/floors.rs
@@ -18,6 +18,8 @@
 pub const FLOOR_TERM: Duration = Duration::from_secs(25);
 /// How much longer the holder waits before it gives the floor to another, beyond the window.
 const FLOOR_MARGIN: Duration = Duration::from_secs(2);
+/// The most VMs that have floors: thinner parts would not hold one large request.
+const HOLDERS_MOST: usize = 20;
 /// The parts that are made at first: the VMs of today and those that may be added.
 const FIRST_PARTS: u64 = 12;
 /// How many more VMs than those known the first parts are made for, in hundredths.
@@ -110,9 +112,18 @@
         self.weights.get(vm).copied().unwrap_or(0)
     }
 
+    /// Returns the sum of the weights that are recorded, or may be by a set of new ones.
+    pub fn given(&self, next: &BTreeMap<VmId, u64>) -> u64 {
+        let most = |vm: &VmId, weight: u64| weight.max(self.weights.get(vm).copied().unwrap_or(0));
+        let new: u64 = next.iter().map(|(vm, weight)| most(vm, *weight)).sum();
+        let gone = self.weights.iter().filter(|(vm, _)| !next.contains_key(*vm));
+        new + gone.map(|(_, weight)| weight).sum::<u64>()
+    }
+
     /// Tells whether a VM has no floor yet.
     pub fn lacking(&self) -> bool {
-        self.heard.keys().any(|vm| !self.weights.contains_key(vm))
+        self.heard.len() <= HOLDERS_MOST
+            && self.heard.keys().any(|vm| !self.weights.contains_key(vm))
     }
 
     /// Returns how many VMs have been heard of within a time.
@@ -128,6 +139,9 @@
         weights.retain(|vm, _| self.heard.contains_key(vm));
         let newcomers: Vec<&VmId> =
             self.heard.keys().filter(|vm| !weights.contains_key(*vm)).collect();
+        if weights.len() + newcomers.len() > HOLDERS_MOST {
+            return weights;
+        }
         let known = (weights.len() + newcomers.len()) as u64;
         let part = MILLION / FIRST_PARTS.max(known * FIRST_AHEAD / 100);
         for vm in newcomers {
--- a/crates/decide/src/process/allowance/mod.rs
+++ b/crates/decide/src/process/allowance/mod.rs
@@ -62,13 +62,15 @@
         (base * excess) as u64 + self.slack * SLACK_PART / MILLION
     }
 
-    /// Returns the part of a window's tokens that lies in floors.
+    /// Returns the part of a window's tokens that lies in floors, where all of them are given.
     pub fn floors(&self) -> u64 {
         self.whole() / 1_000 * FLOOR_PART / 1_000
     }
 
-    /// Returns the part of a window's tokens that lies in the pool.
-    pub fn pool(&self) -> u64 {
-        self.whole() - self.floors()
+    /// Returns the part of a window's tokens that lies in the pool: what is in no VM's floor.
+    ///
+    /// `given` is the sum of the floors' weights, in millionths.
+    pub fn pool(&self, given: u64) -> u64 {
+        self.whole().saturating_sub((self.floors() * given.min(MILLION)).div_ceil(MILLION))
     }
 }
--- a/crates/decide/src/process/allowance/pool.rs
+++ b/crates/decide/src/process/allowance/pool.rs
@@ -29,6 +29,8 @@
 const HEADROOM: f64 = 0.5;
 /// The part of the pool by which it may rise at least.
 const HEADROOM_LEAST: Tokens = 400;
+/// How many VMs at most what is left of the pool is kept for, when one asks.
+const SHARERS: u64 = 5;
 /// The part of the pool that any VM may be given between two records besides.
 const RESERVE: Tokens = 24;
 /// The name under which a former holder's reserve counts.
@@ -104,15 +106,17 @@
 impl TokenPool {
     /// Makes a pool after a former holder's note that was recorded so long ago.
     ///
+    /// `given` is the sum of the floors' weights that lie outside the pool.
+    ///
     /// ```
     /// use bamboocourse_decide::{Limit, PoolNote, TokenPool};
     /// use std::time::Duration;
     /// let window = Duration::from_secs(8);
     /// let limit = Limit { rate: 100.0, burst: 100.0, window, excess: 0.0, slack: 0 };
-    /// let mut pool = TokenPool::new(limit, &PoolNote::default(), Duration::ZERO, Duration::ZERO);
+    /// let mut pool = TokenPool::new(limit, 0, &PoolNote::default(), Duration::ZERO, Duration::ZERO);
     /// assert_eq!(pool.charged(Duration::ZERO), 0);
     /// ```
-    pub fn new(limit: Limit, note: &PoolNote, age: Duration, now: Duration) -> Self {
+    pub fn new(limit: Limit, given: u64, note: &PoolNote, age: Duration, now: Duration) -> Self {
         let span = limit.window + REPORT_LAG;
         let part = limit.window / HISTORY;
         let mut used = Window::new(span);
@@ -135,7 +139,7 @@
             unknown.insert(vm.clone(), (tokens + open, at));
         }
         Self {
-            size: limit.pool(),
+            size: limit.pool(given),
             span,
             part,
             used,
@@ -149,9 +153,9 @@
         }
     }
 
-    /// Sets the limit.
-    pub fn set_limit(&mut self, limit: Limit) {
-        self.size = limit.pool();
+    /// Sets the limit, and the sum of the floors' weights that lie outside the pool.
+    pub fn set_limit(&mut self, limit: Limit, given: u64) {
+        self.size = limit.pool(given);
     }
 
     /// Returns the note to record before ceilings are raised further.
@@ -203,7 +207,7 @@
         let room = self.size.saturating_sub(charged);
         let plenty = (room as f64 / (self.size as f64 * PLENTY).max(1.0)).min(1.0);
         let ahead = AHEAD_SCARCE + (AHEAD - AHEAD_SCARCE) * plenty;
-        let vms = self.members.len() as u64;
+        let share = (self.members.len() as u64).clamp(2, SHARERS);
         let Some(member) = self.members.get_mut(vm) else {
             return Ceiling { tokens: 0, hungry: true };
         };
@@ -212,7 +216,7 @@
         let open = member.ceiling - member.spent;
         let need = need.saturating_sub(open);
         let recorded = member.most.saturating_sub(member.ceiling);
-        let given = need.min(room / vms.max(2)).min(recorded + self.reserve);
+        let given = need.min(room / share).min(recorded + self.reserve);
         self.reserve -= given.saturating_sub(recorded);
         member.most = member.most.max(member.ceiling + given);
         member.ceiling += given;
--- a/crates/decide/src/process/placement/station.rs
+++ b/crates/decide/src/process/placement/station.rs
@@ -268,16 +268,20 @@
 
     /// Takes in what the platform's list says it holds; returns whether an order has ended.
     ///
-    /// The list tells of models at once, of adapters never.
-    pub fn on_listed(&mut self, born: u64, models: &FastSet<ModelId>, now: Duration) -> bool {
-        if born != self.born {
-            self.on_born(born, now);
+    /// The list tells of models at once, of adapters never. Which weights are at hand is the
+    /// endpoint's to say: what it has not used for long it drops.
+    pub fn on_listed(&mut self, listed: &Report, now: Duration) -> bool {
+        if listed.born != self.born {
+            self.on_born(listed.born, now);
+            self.near = listed.near.clone();
             return true;
         }
+        self.near = listed.near.clone();
+        let models = &listed.resident;
         let Some(open) = &self.open else { return false };
         let ended = match &open.command {
-            Command::Load(model) => open.accepted && models.contains(model),
-            Command::Unload(model) => open.accepted && !models.contains(model),
+            Command::Load(model) => open.accepted && models.contains_key(model),
+            Command::Unload(model) => open.accepted && !models.contains_key(model),
             Command::Fetch(..) | Command::Release(..) => false,
         };
         if ended {
@@ -353,7 +357,6 @@
     fn finish(&mut self) {
         match self.open.take().map(|open| open.command) {
             Some(Command::Load(model)) => {
-                self.near.insert(model.clone());
                 self.resident.entry(model).or_default();
             }
             Some(Command::Fetch(model, adapter)) => {
--- a/crates/decide/tests/allowance.rs
+++ b/crates/decide/tests/allowance.rs
@@ -60,7 +60,8 @@
         self.fence += 1;
         let (note, at) = &self.note;
         let age = self.now.saturating_sub(*at);
-        self.holder = Some((self.fence, TokenPool::new(limit(), note, age, self.now)));
+        self.holder =
+            Some((self.fence, TokenPool::new(limit(), FLOOR * VMS as u64, note, age, self.now)));
         for vm in &mut self.vms {
             vm.whole = true;
         }
--- a/crates/decide/tests/station.rs
+++ b/crates/decide/tests/station.rs
@@ -167,8 +167,7 @@
                 self.station.on_report(shown.report(), self.now);
             }
             Step::List => {
-                let models = self.engine.models.clone();
-                self.station.on_listed(self.engine.born, &models, self.now);
+                self.station.on_listed(&self.engine.report(), self.now);
             }
             // A successor gives no order until a lease's time after; reports are newer than that.
             Step::TakeOver => {
@@ -182,7 +181,7 @@
             Step::Restart => {
                 self.engine = Engine { born: self.engine.born + 1, ..Engine::default() };
                 self.past = self.engine.clone();
-                self.station.on_listed(self.engine.born, &FastSet::default(), self.now);
+                self.station.on_listed(&self.engine.report(), self.now);
             }
             Step::Demand(model) => self.hot = model,
             Step::Wait(millis) => self.wait(Duration::from_millis(millis)),
@@ -251,8 +250,7 @@
     let busy =
         Report { born: 1, seq: 3, busy: true, resident: resident.clone(), ..Report::default() };
     station.on_report(busy.clone(), now);
-    let models: FastSet<ModelId> = (0..3).map(model).collect();
-    station.on_listed(1, &models, now);
+    station.on_listed(&busy, now);
     assert!(!station.idle(), "the order is still in progress");
     station.on_report(Report { busy: false, ..busy }, now);
     assert!(station.idle());
@@ -296,3 +294,18 @@
     let wanted = [3, 4, 5].len();
     assert!(unloads.values().sum::<usize>() <= wanted, "{unloads:?}");
 }
+
+/// Weights that an endpoint has dropped from its disk count at the weight store again
+/// (linhsu-cane-grown trouble-1: 56 loads in a window for 55).
+#[test]
+fn what_an_endpoint_no_longer_has_at_hand_is_forgotten() {
+    let now = Duration::from_secs(60);
+    let mut station = Station::new(1, now);
+    let near = |models: &[usize]| models.iter().map(|index| model(*index)).collect();
+    let report = Report { born: 1, seq: 1, near: near(&[0, 1]), ..Report::default() };
+    station.on_report(report.clone(), now);
+    assert!(station.near().contains(&model(0)));
+    station.on_listed(&Report { near: near(&[1, 2]), ..report }, now);
+    assert!(!station.near().contains(&model(0)));
+    assert!(station.near().contains(&model(2)));
+}
--- a/crates/entry/src/process/desk.rs
+++ b/crates/entry/src/process/desk.rs
@@ -16,7 +16,7 @@
 use crate::wire::{AdapterUse, Demand, Held};
 
 /// How long the word of the lease's holder on what endpoints hold goes before the list's.
-const HELD_AGE: Duration = Duration::from_secs(4);
+const HELD_AGE: Duration = Duration::from_secs(16);
 
 /// The endpoints, the requests that wait, and what the holder of the lease must know of both.
 #[derive(Debug)]
--- a/crates/entry/src/process/follow.rs
+++ b/crates/entry/src/process/follow.rs
@@ -14,6 +14,8 @@
 const FEED_WAIT: Duration = Duration::from_secs(25);
 /// The pause between calls, so that a series of changes is read together.
 const FEED_PAUSE: Duration = Duration::from_millis(250);
+/// How often it is looked whether another VM still tells of changes.
+const RELAY_LOOK: Duration = Duration::from_millis(200);
 /// The pause after a failed call; it doubles up to the longest.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 const RETRY_MOST: Duration = Duration::from_millis(1_000);
@@ -47,6 +49,23 @@
         }
     }
 
+    /// Tells whether another VM is relied upon for changes.
+    fn relayed(&self) -> bool {
+        match self {
+            // A configuration is large and changes seldom: each VM reads it where it is cheap.
+            Sink::Board(_) => false,
+            Sink::Listing(listing) => listing.relayed(),
+        }
+    }
+
+    /// Returns the version up to which the table is known.
+    fn version(&self) -> StoreVersion {
+        match self {
+            Sink::Board(_) => 0,
+            Sink::Listing(listing) => listing.version(),
+        }
+    }
+
     fn on_trouble(&self) {
         if let Sink::Listing(listing) = self {
             listing.on_trouble();
@@ -67,6 +86,11 @@
     let mut pause = RETRY_PAUSE;
     let mut reached = true;
     loop {
+        if after.is_some() && sink.relayed() {
+            tokio::time::sleep(RELAY_LOOK).await;
+            continue;
+        }
+        after = after.map(|after| after.max(sink.version()));
         metrics.store_calls.add(1, &[]);
         let result = match after {
             Some(after) => store.changes(table, after, FEED_WAIT).await,
--- a/crates/entry/src/process/lead/mod.rs
+++ b/crates/entry/src/process/lead/mod.rs
@@ -59,7 +59,7 @@
 /// The time left of the lease below which no order is sent.
 const ORDER_LEAST: Duration = Duration::from_millis(200);
 /// How often all that is held is told anew.
-const TELL_ALL: Duration = Duration::from_secs(3);
+const TELL_ALL: Duration = Duration::from_secs(12);
 /// The largest report of an endpoint, in bytes.
 const REPORT_MOST: usize = 1 << 20;
 
--- a/crates/entry/src/process/lead/places.rs
+++ b/crates/entry/src/process/lead/places.rs
@@ -63,17 +63,16 @@
         if service.is_none_or(|service| service.engine.is_none()) {
             return;
         }
-        let born = listed.listing.born;
-        let models: FastSet<ModelId> = listed.report.resident.keys().cloned().collect();
         match self.stations.get_mut(name) {
             Some((station, known)) => {
                 *known = listed;
-                if station.on_listed(born, &models, now) {
+                if station.on_listed(&known.report, now) {
                     self.changed.insert(name.clone());
                 }
             }
             None => {
-                self.stations.insert(name.clone(), (Station::new(born, now), listed));
+                self.stations
+                    .insert(name.clone(), (Station::new(listed.listing.born, now), listed));
             }
         }
     }
--- a/crates/entry/src/process/lead/tokens.rs
+++ b/crates/entry/src/process/lead/tokens.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    FastMap, Fleet, FloorPast, Floors, Incarnation, PoolNote, Spending, TokenPool, VmId,
+    FastMap, Fleet, FloorPast, Floors, Incarnation, Limit, PoolNote, Spending, TokenPool, VmId,
     WorkspaceId,
 };
 
@@ -22,6 +22,9 @@
     before: BTreeMap<WorkspaceId, PoolNote>,
     noted: Duration,
     floors: Floors,
+    limits: FastMap<WorkspaceId, Limit>,
+    /// The sum of the floors' weights that lie outside the pools, in millionths.
+    given: u64,
     /// What each VM's process said it spent of its floors, on this VM's clock.
     past: FastMap<VmId, (Incarnation, Duration, FloorPast)>,
 }
@@ -38,20 +41,25 @@
         past: FastMap<VmId, (Incarnation, Duration, FloorPast)>,
         now: Duration,
     ) -> Self {
+        let given = floors.values().sum();
         let floors = Floors::new(floors, now);
-        Self { bounds, pools: FastMap::default(), before, noted, floors, past }
+        let (pools, limits) = (FastMap::default(), FastMap::default());
+        Self { bounds, pools, before, noted, floors, limits, given, past }
     }
 
     /// Sets the limits of a configuration.
     pub(crate) fn apply(&mut self, fleet: &Fleet, now: Duration) {
+        let given = self.given;
+        self.limits.clear();
         for workspace in &fleet.workspaces {
             let Some(limit) = limit_of(workspace, &self.bounds) else { continue };
+            self.limits.insert(workspace.name.clone(), limit);
             match self.pools.get_mut(&workspace.name) {
-                Some(pool) => pool.set_limit(limit),
+                Some(pool) => pool.set_limit(limit, given),
                 None => {
                     let note = self.before.remove(&workspace.name).unwrap_or_default();
                     let age = now.saturating_sub(self.noted);
-                    let mut pool = TokenPool::new(limit, &note, age, now);
+                    let mut pool = TokenPool::new(limit, given, &note, age, now);
                     let [size, used, _, unheard] = pool.state(now);
                     info!(workspace = workspace.name.as_str(), size, used, unheard,
                         age_ms = age.as_millis() as u64; "a workspace's pool is taken over");
@@ -66,11 +74,26 @@
         &mut self,
         now: Duration,
     ) -> (BTreeMap<WorkspaceId, PoolNote>, BTreeMap<VmId, u64>) {
+        let floors = self.floors.next(self.bounds.quota_window, now);
+        // What is about to be in floors leaves the pools first.
+        self.set_given(self.floors.given(&floors));
         let mut notes = self.before.clone();
         for (name, pool) in &mut self.pools {
             notes.insert(name.clone(), pool.next_note(now));
         }
-        (notes, self.floors.next(self.bounds.quota_window, now))
+        (notes, floors)
+    }
+
+    fn set_given(&mut self, given: u64) {
+        if self.given == given {
+            return;
+        }
+        self.given = given;
+        for (name, pool) in &mut self.pools {
+            if let Some(limit) = self.limits.get(name) {
+                pool.set_limit(*limit, given);
+            }
+        }
     }
 
     /// Returns what each VM had spent of its floors, with the store's clock at a time of this one.
@@ -115,6 +138,7 @@
             pool.on_recorded();
         }
         self.floors.on_recorded(floors.clone());
+        self.set_given(floors.values().sum());
     }
 
     /// Takes in a VM's report and returns its ceilings.
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -275,7 +275,7 @@
             });
             let rows = rows.collect();
             let rows = StoreRows { rows, version: answer.listed, ..StoreRows::default() };
-            self.listing.on_changes(&rows);
+            self.listing.on_told(&rows);
         }
         if answer.fence == 0 {
             return;
@@ -287,6 +287,9 @@
             Event::Heard(answer.fence, answer.renewed)
         });
         if answer.sent > 0 {
+            if self.leader.borrow().is_some() {
+                self.listing.on_relayed();
+            }
             let sent = Duration::from_millis(answer.sent);
             self.purse.set_share(answer.floor, answer.vms as usize, answer.funded);
             if !answer.past.is_empty() {
--- a/crates/entry/src/process/listing.rs
+++ b/crates/entry/src/process/listing.rs
@@ -29,8 +29,19 @@
     version: StoreVersion,
     /// Until when an entry that vanishes may only have lapsed with the store.
     doubtful: Duration,
+    /// Until when the holder of the lease is relied upon for changes.
+    relayed: Duration,
+    /// The version of each endpoint's last change that others must hear of.
+    relays: FastMap<EndpointId, StoreVersion>,
+    /// Endpoints that are gone, and since when.
+    gone: FastMap<EndpointId, Duration>,
 }
 
+/// How long after its last word the holder of the lease is relied upon for changes.
+const RELAYED: Duration = Duration::from_millis(1_000);
+/// How long it is told that an endpoint is gone, to VMs that may know a newer version by then.
+const GONE_TOLD: Duration = Duration::from_secs(3);
+
 impl Listing {
     pub(crate) fn new(
         protocol: Arc<dyn Protocol>,
@@ -56,11 +67,26 @@
         self.state().endpoints.get(name).cloned()
     }
 
-    /// Returns the rows that changed after a version, and up to which version that is.
+    /// Returns the rows that others must hear of after a version, and up to which one that is.
     pub(crate) fn after(&self, version: StoreVersion) -> StoreRows {
+        let now = boot_now();
         let state = self.state();
-        let rows = state.rows.values().filter(|row| row.version > version).cloned().collect();
-        StoreRows { rows, version: state.version, ..StoreRows::default() }
+        let told = |name: &EndpointId| match state.gone.get(name) {
+            Some(at) => now < *at + GONE_TOLD,
+            None => state.relays.get(name).is_some_and(|relay| *relay > version),
+        };
+        let rows = state.rows.iter().filter(|(name, _)| told(name)).map(|(_, row)| row.clone());
+        StoreRows { rows: rows.collect(), version: state.version, ..StoreRows::default() }
+    }
+
+    /// Notes that the holder of the lease tells of changes.
+    pub(crate) fn on_relayed(&self) {
+        self.state().relayed = boot_now() + RELAYED;
+    }
+
+    /// Tells whether the holder of the lease is relied upon for changes.
+    pub(crate) fn relayed(&self) -> bool {
+        boot_now() < self.state().relayed
     }
 
     /// Notes that the store could not be reached.
@@ -85,6 +111,20 @@
         state.version = state.version.max(changes.version);
     }
 
+    /// Takes in what the holder of the lease tells; it has made sure of what is gone.
+    pub(crate) fn on_told(self: &Arc<Self>, told: &StoreRows) {
+        for row in told.rows.iter().filter(|row| row.value.is_none()) {
+            let mut state = self.state();
+            let known = state.rows.get(&row.key).map_or(0, |known| known.version);
+            if known <= row.version {
+                state.rows.insert(row.key.clone(), row.clone());
+                drop(state);
+                self.remove(&row.key, row.version);
+            }
+        }
+        self.on_changes(told);
+    }
+
     /// Takes in the whole list; what is not in it is gone.
     pub(crate) fn on_whole(self: &Arc<Self>, whole: &StoreRows) {
         let gone: Vec<EndpointId> = {
@@ -128,6 +168,10 @@
                         left_ms = listed.left.map(|left| left.as_millis() as u64).unwrap_or(0);
                         "an endpoint is listed");
                 }
+                if changed {
+                    state.relays.insert(name.clone(), row.version);
+                }
+                state.gone.remove(&name);
                 state.endpoints.insert(name.clone(), listed.clone());
                 drop(state);
                 self.desk.list(&name, &listed);
@@ -135,6 +179,7 @@
             }
             Err(why) => {
                 let known = state.endpoints.remove(&name).is_some();
+                state.relays.insert(name.clone(), row.version);
                 drop(state);
                 warn!(endpoint = name.as_str(), row = row.version, known, why:%;
                     "an endpoint's entry cannot be read; it names no endpoint");
@@ -172,6 +217,7 @@
         if !still || state.endpoints.remove(name).is_none() {
             return;
         }
+        state.gone.insert(name.clone(), boot_now());
         drop(state);
         info!(endpoint = name.as_str(), row = version; "an endpoint is gone");
         self.desk.drop_endpoint(name);
--- a/crates/entry/src/process/purse.rs
+++ b/crates/entry/src/process/purse.rs
@@ -33,10 +33,15 @@
     repeats: FastMap<ServiceId, RepeatBudget>,
     floor: u64,
     vms: usize,
+    /// What was last told of each workspace, and when all of them were.
+    told: FastMap<WorkspaceId, Tokens>,
+    told_all: Duration,
     /// Whether a holder of the pools has said that it can grant.
     funded: bool,
 }
 
+/// How often all workspaces are told of, also those without a change: ceilings lapse otherwise.
+const TELL_ALL: Duration = Duration::from_secs(2);
 /// VMs that share a service's repeats, until the holder of the lease has said how many there are.
 const VMS_UNKNOWN: usize = 12;
 
@@ -60,6 +65,8 @@
             repeats: FastMap::default(),
             floor: 0,
             vms: VMS_UNKNOWN,
+            told: FastMap::default(),
+            told_all: Duration::ZERO,
             funded: false,
         };
         Self {
@@ -163,6 +170,9 @@
     pub(crate) fn floor_spends(&self) -> Vec<FloorSpend> {
         let now = boot_now();
         let state = self.state();
+        if state.floor == 0 {
+            return Vec::new();
+        }
         let spends = state.spenders.iter().map(|(name, spender)| FloorSpend {
             workspace: name.to_string(),
             parts: spender.floor_parts(now),
@@ -198,15 +208,24 @@
     pub(crate) fn spends(&self, whole: bool) -> Vec<Spend> {
         let now = boot_now();
         let mut state = self.state();
-        let spends = state.spenders.iter_mut().map(|(name, spender)| {
+        let whole = whole || now >= state.told_all + TELL_ALL;
+        if whole {
+            state.told_all = now;
+        }
+        let State { spenders, told, .. } = &mut *state;
+        let spends = spenders.iter_mut().filter_map(|(name, spender)| {
             let said = spender.report(now);
-            Spend {
+            if !whole && said.wanted == 0 && told.get(name) == Some(&said.spent) {
+                return None;
+            }
+            told.insert(name.clone(), said.spent);
+            Some(Spend {
                 workspace: name.to_string(),
                 spent: said.spent,
                 wanted: said.wanted,
                 ceiling: said.ceiling,
                 recent: if whole { said.recent } else { Vec::new() },
-            }
+            })
         });
         spends.collect()
     }
