--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -153,8 +153,10 @@
 pub(crate) struct ExplainOptions {
     #[options(help = "print this help")]
     pub(crate) help: bool,
-    #[options(no_short, required, help = "operator address of a VM", meta = "IP:PORT")]
+    #[options(no_short, help = "operator address of a VM", meta = "IP:PORT")]
     pub(crate) vm: Option<SocketAddr>,
+    #[options(no_short, help = "log of an entry VM, instead of asking one", meta = "PATH")]
+    pub(crate) log: Option<PathBuf>,
     #[options(free, help = "a request's id, a model, an endpoint or a workspace")]
     pub(crate) about: Option<String>,
 }
--- a/crates/cli/src/ask.rs
+++ b/crates/cli/src/ask.rs
@@ -10,6 +10,7 @@
 use serde_json::Value;
 
 use crate::args::{AskOptions, ExplainOptions, ReportOptions};
+use crate::story;
 use crate::{Exit, block_on};
 
 const ANSWER_LIMIT: usize = 64 << 20;
@@ -37,7 +38,13 @@
 
 /// Prints the decisions about a subject.
 pub(crate) fn explain(options: &ExplainOptions) -> Exit {
-    let Some(vm) = options.vm else { return Exit::Usage };
+    if let (Some(log), Some(subject)) = (&options.log, &options.about) {
+        return story::tell(log, subject);
+    }
+    let Some(vm) = options.vm else {
+        eprintln!("bamboocourse: give --vm, or --log and what to explain");
+        return Exit::Usage;
+    };
     let path = match &options.about {
         Some(subject) => format!("/decisions?about={subject}"),
         None => "/decisions".to_string(),
--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -39,7 +39,7 @@
 /// Starts logging to standard output.
 pub(crate) fn start() {
     let env = Env::default().default_filter_or("info");
-    Builder::from_env(env).target(Target::Pipe(Box::new(Pipe))).init();
+    Builder::from_env(env).format_timestamp_millis().target(Target::Pipe(Box::new(Pipe))).init();
     std::thread::spawn(|| {
         loop {
             std::thread::sleep(WRITE_EVERY);
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod logs;
 mod publish;
 mod serve;
+mod story;
 
 use std::process::ExitCode;
 
