--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -38,8 +38,9 @@
 pub use process::members::{
     ALIVE_FOR, Difference, Entry, Knowledge, Mark, Members, ShortName, gossip_every, short_name,
 };
-pub use process::placement::fleet::{FleetPlanner, Intake, Move, Site};
+pub use process::placement::fleet::{FleetPlanner, Move, Site};
 pub use process::placement::forecast::Forecast;
+pub use process::placement::intake::Intake;
 pub use process::placement::lease::{
     LEASE_EVERY, LEASE_MARGIN, LEASE_TERM, Lease, LeaseEvent, LeaseRow, Proposal, Terms,
 };
--- a/crates/decide/src/process/placement/fleet.rs
+++ b/crates/decide/src/process/placement/fleet.rs
@@ -10,10 +10,10 @@
 
 use smol_str::SmolStr;
 
+use super::intake::Intake;
 use super::station::{Command, Resident};
 use crate::ids::{AdapterId, DomainId, EndpointId, ModelId};
 use crate::map::{FastMap, FastSet};
-use crate::process::window::Window;
 use crate::version::fleet::FleetEngine;
 
 /// The part of an endpoint's slots that one model's requests are meant to take there.
@@ -47,10 +47,6 @@
 const ROOM_TIME: Duration = Duration::from_secs(1);
 /// How long an adapter takes to load where few are under way.
 const ADAPTER_TIME: Duration = Duration::from_millis(10);
-/// Loads from the weight store that are kept back in each window for late ones.
-const KEPT_BACK: f64 = 1.0;
-/// Loads that the bound allows besides its rate.
-const BESIDES: f64 = 3.0;
 /// How long room that is being made for a model is waited for.
 const CLEARING: Duration = Duration::from_secs(6);
 /// The time over which demand is smoothed.
@@ -59,54 +55,6 @@
 /// An adapter of a model.
 type Variant = (ModelId, AdapterId);
 
-/// The bound on loads from the weight store.
-#[derive(Debug, Clone)]
-pub struct Intake {
-    begun: Window,
-    span: Duration,
-    excess: f64,
-    bound: f64,
-}
-
-impl Intake {
-    /// Makes the bound of a window.
-    ///
-    /// ```
-    /// use bamboocourse_decide::Intake;
-    /// use std::time::Duration;
-    /// let mut intake = Intake::new(Duration::from_secs(5), 1.0);
-    /// intake.set_rate(2.0);
-    /// assert!(intake.take(Duration::ZERO));
-    /// ```
-    pub fn new(span: Duration, excess: f64) -> Self {
-        Self { begun: Window::new(span), span, excess, bound: 0.0 }
-    }
-
-    /// Sets the loads that the weight store allows each second.
-    pub fn set_rate(&mut self, rate: f64) {
-        self.bound = rate * self.span.as_secs_f64() * self.excess + BESIDES - KEPT_BACK;
-    }
-
-    /// Counts a load that begins, if the bound allows it.
-    pub fn take(&mut self, now: Duration) -> bool {
-        if self.begun.total(now) as f64 + 1.0 > self.bound {
-            return false;
-        }
-        self.begun.add(now, 1);
-        true
-    }
-
-    /// Counts as many loads as the bound allows: what a former giver of orders began is not known.
-    pub fn fill(&mut self, now: Duration) {
-        while self.take(now) {}
-    }
-
-    /// Tells whether the bound allows another load.
-    pub fn open(&mut self, now: Duration) -> bool {
-        self.begun.total(now) as f64 + 1.0 <= self.bound
-    }
-}
-
 /// An endpoint as the planner sees it.
 #[derive(Debug, Clone)]
 pub struct Site {
--- a/crates/decide/src/process/placement/mod.rs
+++ b/crates/decide/src/process/placement/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod fleet;
 pub(crate) mod forecast;
+pub(crate) mod intake;
 pub(crate) mod lease;
 pub(crate) mod ledger;
 pub(crate) mod plan;
