--- a/crates/decide/src/request/dispatch.rs
+++ b/crates/decide/src/request/dispatch.rs
@@ -13,7 +13,7 @@
 use crate::request::route::Load;
 
 /// What another domain's endpoint is worse by, in parts of its slots.
-const FAR: f64 = 0.15;
+const FAR: f64 = 0.3;
 /// What an endpoint that fails all requests is worse by, in parts of its slots.
 const FAILING: f64 = 2.0;
 /// How far equals are told apart by chance, lest VMs with the same view all pick one.
