--- /dev/null
+++ b/crates/decide/tests/dispatch.rs
@@ -0,0 +1,122 @@
+//! Waiting and placing at the worst load, replayed without input and output.
+
+use std::time::Duration;
+
+use bamboocourse_decide::{
+    Dispatcher, Ending, FastSet, Listing, Load, Need, Resident, Shortage, Wanted,
+};
+
+const NOW: Duration = Duration::from_secs(100);
+const SLOTS: u32 = 8;
+
+fn listing() -> Listing {
+    Listing { service: "models".into(), domain: "a".into(), slots: SLOTS, ready: true, born: 1 }
+}
+
+fn dispatcher(names: &[&str]) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new("a".into());
+    for name in names {
+        let resident: Resident = [("m".into(), FastSet::default())].into_iter().collect();
+        dispatcher.list(&(*name).into(), listing());
+        dispatcher.set_resident(&(*name).into(), resident);
+    }
+    dispatcher
+}
+
+/// A request whose aim can be met for so long.
+fn need(fresh: Duration, urgency: u8) -> Need {
+    Need {
+        service: "models".into(),
+        wanted: Some(Wanted { model: "m".into(), adapter: None }),
+        urgency,
+        session: 0,
+        fresh,
+        tried: Vec::new(),
+    }
+}
+
+fn fill(dispatcher: &mut Dispatcher, name: &str, running: u32, waiting: u32) {
+    dispatcher.on_load(&name.into(), Load { running, waiting }, NOW);
+}
+
+/// Names a case with one full endpoint.
+macro_rules! case {
+    ($name:ident, |$dispatcher:ident| $body:block) => {
+        #[test]
+        fn $name() {
+            let mut $dispatcher = dispatcher(&["e1"]);
+            fill(&mut $dispatcher, "e1", SLOTS, 2);
+            $body
+        }
+    };
+}
+
+// linhsu-cane scale-1: waiting requests were sent in order of arrival, late ones first.
+case!(requests_that_can_meet_their_aim_go_first, |dispatcher| {
+    dispatcher.wait(1, need(NOW - Duration::from_secs(1), 0));
+    dispatcher.wait(2, need(NOW + Duration::from_secs(1), 2));
+    assert!(dispatcher.pump(NOW).is_empty(), "it is full");
+    fill(&mut dispatcher, "e1", SLOTS, 0);
+    let placed: Vec<u64> = dispatcher.pump(NOW).into_iter().map(|(turn, ..)| turn).collect();
+    assert_eq!(placed, [2], "the late one waits for an idle slot");
+    fill(&mut dispatcher, "e1", 2, 0);
+    let placed: Vec<u64> = dispatcher.pump(NOW).into_iter().map(|(turn, ..)| turn).collect();
+    assert_eq!(placed, [1]);
+});
+
+case!(more_urgent_requests_go_first, |dispatcher| {
+    let fresh = NOW + Duration::from_secs(1);
+    dispatcher.wait(1, need(fresh, 2));
+    dispatcher.wait(2, need(fresh, 0));
+    fill(&mut dispatcher, "e1", SLOTS, 1);
+    let placed: Vec<u64> = dispatcher.pump(NOW).into_iter().map(|(turn, ..)| turn).collect();
+    assert_eq!(placed, [2]);
+});
+
+case!(a_request_that_has_left_is_not_placed, |dispatcher| {
+    dispatcher.wait(1, need(NOW + Duration::from_secs(1), 0));
+    assert!(dispatcher.leave(1, 0));
+    fill(&mut dispatcher, "e1", 0, 0);
+    assert!(dispatcher.pump(NOW).is_empty());
+});
+
+case!(what_is_short_is_said, |dispatcher| {
+    let fresh = NOW + Duration::from_secs(1);
+    assert_eq!(dispatcher.pick(&need(fresh, 0), 1, NOW), Err(Shortage::Full));
+    let mut other = need(fresh, 0);
+    other.wanted = Some(Wanted { model: "x".into(), adapter: None });
+    assert_eq!(dispatcher.pick(&other, 1, NOW), Err(Shortage::NotResident));
+    other.wanted = Some(Wanted { model: "m".into(), adapter: Some("a1".into()) });
+    assert_eq!(dispatcher.pick(&other, 1, NOW), Err(Shortage::NoAdapter));
+    other.service = "none".into();
+    assert_eq!(dispatcher.pick(&other, 1, NOW), Err(Shortage::NoEndpoint));
+});
+
+/// A grey endpoint loses its share of the requests, and a service is never left without any.
+#[test]
+fn endpoints_that_fail_are_avoided_but_never_all_of_them() {
+    let mut dispatcher = dispatcher(&["good", "grey"]);
+    let mut grey = 0;
+    for turn in 0..200 {
+        let now = NOW + Duration::from_millis(turn * 20);
+        let picked = dispatcher.pick(&need(now, 0), turn, now).expect("one is always picked");
+        let fails = picked == "grey" && turn % 2 == 0;
+        grey += u32::from(picked == "grey");
+        let ending = if fails { Ending::Failed } else { Ending::Good };
+        dispatcher.finish(&picked, ending, now);
+    }
+    assert!(grey < 40, "{grey} of 200 went to the endpoint that fails half of them");
+    for turn in 200..260 {
+        let now = NOW + Duration::from_millis(turn * 20);
+        let picked = dispatcher.pick(&need(now, 0), turn, now).expect("one is always picked");
+        dispatcher.finish(&picked, Ending::Gone, now);
+    }
+}
+
+/// A restarted endpoint holds nothing, and its former load says nothing.
+#[test]
+fn a_new_start_of_an_endpoint_holds_nothing() {
+    let mut dispatcher = dispatcher(&["e1"]);
+    dispatcher.list(&"e1".into(), Listing { born: 2, ..listing() });
+    assert_eq!(dispatcher.pick(&need(NOW, 0), 1, NOW), Err(Shortage::NotResident));
+}
