A restarted VM of the test fleet waits for its killed runtime to close its listeners

Run 25 times beside busy processes it failed 11 times. Change: the restart tries again for 5 s while the address is in use; any other error ends it at once. Conclusion: the fixture's race, not the program's.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -16,6 +16,9 @@
 
 use crate::sample::{ENGINE_GIB, Endpoints, Sample};
 
+/// How long a killed VM's runtime may take to close its listeners, and how often that is looked at.
+const CLOSING: Duration = Duration::from_secs(5);
+const CLOSING_LOOK: Duration = Duration::from_millis(10);
 const GIB: u64 = 1 << 30;
 const FIRST_VM_HOST: u8 = 10;
 const FIRST_ENDPOINT_HOST: u8 = 100;
@@ -192,8 +195,23 @@
     /// Starts a killed VM again on the same addresses.
     pub async fn restart(&mut self, index: usize) -> std::io::Result<()> {
         let settings = self.vms[index].settings.clone();
-        self.vms[index].running = Some(launch(settings).await?);
-        Ok(())
+        let end = tokio::time::Instant::now() + CLOSING;
+        loop {
+            match launch(settings.clone()).await {
+                Ok(running) => {
+                    self.vms[index].running = Some(running);
+                    return Ok(());
+                }
+                // The killed runtime closes its listeners a moment after `kill` has returned.
+                Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {
+                    if tokio::time::Instant::now() >= end {
+                        return Err(error);
+                    }
+                    tokio::time::sleep(CLOSING_LOOK).await;
+                }
+                Err(error) => return Err(error),
+            }
+        }
     }
 
     /// Takes a VM out of service gracefully and waits until it has left.
