--- a/crates/serve/src/request/answer.rs
+++ b/crates/serve/src/request/answer.rs
@@ -3,7 +3,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use bamboocourse_decide::Refusal;
+use bamboocourse_decide::{Kind, Refusal};
 use bytes::Bytes;
 use http::{HeaderValue, header};
 use http_body_util::combinators::BoxBody;
@@ -102,5 +102,9 @@
         let seconds = after.as_secs_f64().ceil().max(1.0) as u64;
         response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
     }
+    if matches!(refusal.kind, Kind::BodyTooLarge | Kind::RequestTimeout) {
+        // The rest of the body is never read: nothing can follow on this connection.
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     response
 }
