The outcome of a proposal counts for its own fencing number only

Cause: the lease's property test found two holders of number 2: a holder gave up while its renewal was on its way, claimed again under the next number, and took the renewal's outcome for the claim's. The process has one call under way at a time, so it could not come to that; the machine must not depend on it. Change: an outcome names the number that was proposed; another one is left out.

--- a/crates/decide/src/process/placement/lease.rs
+++ b/crates/decide/src/process/placement/lease.rs
@@ -56,8 +56,8 @@
 pub enum LeaseEvent {
     /// The row was read; a renewal may be due.
     Read(Option<(Revision, LeaseRow)>, Duration),
-    /// A proposed row got an outcome.
-    Settled(Outcome, Duration),
+    /// A row that was proposed under a fencing number got an outcome.
+    Settled(Fence, Outcome, Duration),
     /// Time has passed.
     Tick(Duration),
     /// The holder said that it renewed the row, as a revision.
@@ -167,7 +167,7 @@
                 }
                 Handled
             }
-            LeaseEvent::Settled(outcome, _) => match self.settle(*outcome) {
+            LeaseEvent::Settled(proposed, outcome, _) => match self.settle(*proposed, *outcome) {
                 Some(fence) => Transition(State::leading(fence)),
                 None => Handled,
             },
@@ -200,8 +200,8 @@
                 *context = self.propose(*fence, *now);
                 Handled
             }
-            LeaseEvent::Settled(outcome, _) => {
-                self.settle(*outcome);
+            LeaseEvent::Settled(proposed, outcome, _) => {
+                self.settle(*proposed, *outcome);
                 Handled
             }
             LeaseEvent::Tick(now) if *now >= self.until => Transition(State::following()),
@@ -277,8 +277,9 @@
         Some(Proposal { revision, row })
     }
 
-    fn settle(&mut self, outcome: Outcome) -> Option<Fence> {
-        let sent = self.sent.take()?;
+    fn settle(&mut self, proposed: Fence, outcome: Outcome) -> Option<Fence> {
+        // The outcome of a row from before the lease was given up says nothing of a later one.
+        let sent = self.sent.take_if(|sent| sent.fence == proposed)?;
         let Outcome::Committed(_) = outcome else { return None };
         self.until = sent.at + self.terms.term;
         Some(sent.fence)
--- a/crates/decide/tests/lease.rs
+++ b/crates/decide/tests/lease.rs
@@ -78,8 +78,9 @@
             }
             Step::Land { which, heard } => self.land(which, heard),
             Step::Unheard(which) if !self.flying.is_empty() => {
-                let (vm, life, _) = self.flying[which % self.flying.len()];
-                self.settle(vm, life, Outcome::Unknown);
+                let (vm, life, proposal) = &self.flying[which % self.flying.len()];
+                let (vm, life, fence) = (*vm, *life, proposal.row.fence);
+                self.settle(vm, life, fence, Outcome::Unknown);
             }
             Step::Unheard(_) => {}
             Step::Tick(vm) => self.propose(vm, LeaseEvent::Tick(self.now)),
@@ -129,12 +130,12 @@
         if heard && outcome != Outcome::Conflict && self.lives[vm] == life {
             self.written[vm] = Some((fence, self.revision));
         }
-        self.settle(vm, life, if heard { outcome } else { Outcome::Unknown });
+        self.settle(vm, life, fence, if heard { outcome } else { Outcome::Unknown });
     }
 
-    fn settle(&mut self, vm: usize, life: u64, outcome: Outcome) {
+    fn settle(&mut self, vm: usize, life: u64, fence: u64, outcome: Outcome) {
         if self.lives[vm] == life {
-            self.leases[vm].handle(LeaseEvent::Settled(outcome, self.now));
+            self.leases[vm].handle(LeaseEvent::Settled(fence, outcome, self.now));
         }
     }
 
--- a/crates/entry/src/process/lead/tenure.rs
+++ b/crates/entry/src/process/lead/tenure.rs
@@ -178,21 +178,22 @@
         now: Duration,
     ) {
         self.calling = false;
+        let fence = row.lease.fence;
         match result {
             Ok(Written::Done(version, clock)) => {
                 self.set_clock(clock, now);
-                self.lease.handle(LeaseEvent::Settled(Outcome::Committed(version), now));
+                self.lease.handle(LeaseEvent::Settled(fence, Outcome::Committed(version), now));
                 self.on_recorded(version, row, now);
             }
             Ok(Written::Differs(now_row)) => {
-                self.lease.handle(LeaseEvent::Settled(Outcome::Conflict, now));
+                self.lease.handle(LeaseEvent::Settled(fence, Outcome::Conflict, now));
                 info!("another VM has written the lease's row");
                 self.observe(now_row.as_ref(), now);
             }
             Err(error) => {
                 self.handles.metrics.store_errors.add(1, &[]);
                 warn!(error:%, leading = self.held.is_some(); "the lease's row was not written");
-                self.lease.handle(LeaseEvent::Settled(Outcome::Unknown, now));
+                self.lease.handle(LeaseEvent::Settled(fence, Outcome::Unknown, now));
                 let unreachable = matches!(error, StoreError::NotDone(_));
                 if unreachable
                     && self.held.as_ref().is_some_and(|held| now >= held.renewed + RESIGN)
--- a/crates/serve/src/process/leader.rs
+++ b/crates/serve/src/process/leader.rs
@@ -82,7 +82,7 @@
         Ok(_) => Outcome::Conflict,
         Err(_) => Outcome::Unknown,
     };
-    lease.handle(LeaseEvent::Settled(outcome, shared.now()));
+    lease.handle(LeaseEvent::Settled(proposal.row.fence, outcome, shared.now()));
 }
 
 /// What a VM does while it leads.
