Pool: a call that nobody makes is out

Read with the whole change: forget() closed idle connections by address and had no caller. Not mended here: Pool, FrameCodec and the metrics stand in serve and entry alike until serve runs on the pipeline of entry.

--- a/crates/entry/src/edge/pool.rs
+++ b/crates/entry/src/edge/pool.rs
@@ -118,11 +118,6 @@
         }
     }
 
-    /// Closes the idle connections to an address.
-    pub fn forget(&self, address: SocketAddr) {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
-    }
-
     /// Closes the connections that have been idle for too long.
     pub fn prune(&self) {
         let now = Instant::now();
