Waiting: at overload the newest go first, and nothing queues at an engine

Requests that waited here went in the order of arrival, so that all were sent when their aim could hardly be met.

Change: an engine is full at 95% of its slots for requests whose aim can still be met; the newest of these go first; an aim counts as lost when a quarter of it is left. How full the endpoint was is in the line of each request.

--- a/crates/decide/src/request/dispatch.rs
+++ b/crates/decide/src/request/dispatch.rs
@@ -5,6 +5,7 @@
 //! by a fixed amount. A request waits when no endpoint that holds its model has room, most urgent
 //! first; the endpoints' own queues stay short, so that urgent requests are not stuck behind others.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -20,8 +21,11 @@
 const SPREAD: f64 = 0.04;
 /// How much better the endpoint is that has the caller's earlier prompts.
 const FAMILIAR: f64 = 0.05;
-/// How much of its slots an endpoint may have queued before requests wait here.
+/// How much of its slots a plain endpoint may have queued before requests wait here.
 const QUEUE_PART: f64 = 0.25;
+/// How much of an engine's slots may be taken before requests wait here: what queues at an engine
+/// waits for whole generations to end, and two thirds of it miss their aim.
+const ENGINE_PART: f64 = 0.95;
 /// How much of its slots may be taken for a request whose aim is missed anyway.
 const STALE_PART: f64 = 0.85;
 /// How much of its slots must be taken for a missing answer to be put down to load.
@@ -214,6 +218,12 @@
         endpoint.is_some_and(|one| one.depth(now) >= f64::from(one.listing.slots) * BUSY_PART)
     }
 
+    /// Estimates how much of an endpoint's slots is taken; more than 1 where requests queue there.
+    pub fn filled(&self, name: &EndpointId, now: Duration) -> f64 {
+        let endpoint = self.endpoints.get(name);
+        endpoint.map_or(0.0, |one| one.depth(now) / f64::from(one.listing.slots.max(1)))
+    }
+
     /// Returns how many endpoints take work.
     pub fn ready(&self) -> usize {
         self.endpoints.values().filter(|endpoint| endpoint.listing.ready).count()
@@ -345,9 +355,11 @@
         let mut stuck: FastSet<(ServiceId, Option<Wanted>, bool)> = FastSet::default();
         let mut removed = Vec::new();
         let waiting = std::mem::take(&mut self.waiting);
-        // Those that can still meet their aim go first.
-        let (fresh, stale): (Vec<_>, Vec<_>) =
+        // Those that can still meet their aim go first, the newest before others: where there are
+        // too many, all would be served just too late in the order of their arrival.
+        let (mut fresh, stale): (Vec<_>, Vec<_>) =
             waiting.iter().partition(|(_, need)| now <= need.fresh);
+        fresh.sort_by_key(|((urgency, turn), _)| (*urgency, Reverse(*turn)));
         for (group, late) in [(fresh, false), (stale, true)] {
             for ((urgency, turn), need) in group {
                 let lane = (need.service.clone(), need.wanted.clone(), late);
@@ -422,7 +434,11 @@
         if now > need.fresh {
             return self.depth(now) >= (slots * STALE_PART).max(1.0);
         }
-        self.depth(now) >= slots + (slots * QUEUE_PART).max(1.0)
+        let most = match need.wanted {
+            Some(_) => (slots * ENGINE_PART).max(1.0),
+            None => slots + (slots * QUEUE_PART).max(1.0),
+        };
+        self.depth(now) >= most
     }
 
     fn score(
--- a/crates/entry/src/process/desk.rs
+++ b/crates/entry/src/process/desk.rs
@@ -46,6 +46,8 @@
     desk: Arc<Desk>,
     pub(crate) name: EndpointId,
     pub(crate) address: SocketAddr,
+    /// How much of the endpoint's slots was taken, with this request.
+    pub(crate) filled: f64,
     model: Option<(ServiceId, ModelId)>,
     ending: Ending,
 }
@@ -297,7 +299,9 @@
             *state.open.entry(key.clone()).or_default() += 1;
             key
         });
-        Some(Place { desk: self.clone(), name, address, model, ending: Ending::Neutral })
+        let filled = state.dispatcher.filled(&name, boot_now());
+        let desk = self.clone();
+        Some(Place { desk, name, address, filled, model, ending: Ending::Neutral })
     }
 
     fn note_adapter(&self, state: &mut State, need: &Need, missing: bool) {
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -49,8 +49,9 @@
 const SHED_MOST: u32 = 3;
 /// How long tokens are waited for.
 const TOKEN_WAIT: Duration = Duration::from_millis(250);
-/// What an idle endpoint takes to the first bytes of an answer.
-const FIRST_LEAST: Duration = Duration::from_millis(40);
+/// The part of an aim that an endpoint takes to the first bytes of an answer, as a divisor: at an
+/// engine whose slots are nearly all taken, half of the requests have their first event after 108 ms.
+const FIRST_PART: u32 = 4;
 /// When a caller may come back where nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(500);
 /// The least time that callers of a stream wait for an event before they leave.
@@ -207,7 +208,8 @@
             workspace: workspace.map(|workspace| workspace.name.clone()),
             urgency,
             deadline,
-            fresh: boot_now() + route.aim.saturating_sub(arrived.elapsed() + FIRST_LEAST),
+            fresh: boot_now()
+                + (route.aim - route.aim / FIRST_PART).saturating_sub(arrived.elapsed()),
             leaves: leaves.min(deadline),
             call,
         };
@@ -249,7 +251,7 @@
                 return Err(failure.unwrap_or(refusal));
             }
             need.tried.push(place.name.clone());
-            trace.sent(&place.name);
+            trace.sent(&place.name, place.filled);
             let sent = self.send(&job, place, job.call.resumes, runs, trace).await;
             let may_repeat = job.route.repeat.again() && runs + 1 < job.route.attempts;
             match sent {
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -164,7 +164,7 @@
             }
             self.pipeline.metrics.resumes.add(1, &[]);
             self.tried.push(place.name.clone());
-            self.trace.sent(&place.name);
+            self.trace.sent(&place.name, place.filled);
             let sent =
                 self.pipeline.send(&self.job, place, self.last, self.runs, &mut self.trace).await;
             match sent {
--- a/crates/entry/src/request/trace.rs
+++ b/crates/entry/src/request/trace.rs
@@ -35,6 +35,7 @@
     left: Duration,
     sends: u32,
     endpoint: EndpointId,
+    filled: f64,
     waited: Duration,
     first: Option<Duration>,
     events: u32,
@@ -81,10 +82,12 @@
         }
     }
 
-    pub(super) fn sent(&mut self, endpoint: &EndpointId) {
+    /// Notes a send to an endpoint whose slots are taken so far.
+    pub(super) fn sent(&mut self, endpoint: &EndpointId, filled: f64) {
         let Some(story) = &mut self.story else { return };
         story.sends += 1;
         story.endpoint = endpoint.clone();
+        story.filled = filled;
     }
 
     /// Notes that an answer's head has come.
@@ -142,6 +145,7 @@
         info!(id = story.id.as_str(), kind, status, route = story.route.as_str(),
             version = story.version, workspace = story.workspace.as_str(),
             model = story.model.as_str(), endpoint = story.endpoint.as_str(),
+            filled_percent = (story.filled * 100.0) as u64,
             sends = story.sends, events = story.events,
             left_ms = story.left.as_millis() as u64,
             waited_ms = story.waited.as_millis() as u64,
