Adapters on their way are waited for instead of given up

Cause: an adapter counted as resident when its order was accepted, 5 to 7 ms before it was there.

Change: the holder tells of an adapter when it should have arrived; a VM that is turned away asks the same endpoint again after 15, 30 and 60 ms before it believes that the adapter is not there.

--- a/crates/decide/src/request/dispatch.rs
+++ b/crates/decide/src/request/dispatch.rs
@@ -38,6 +38,11 @@
 const PAUSE: Duration = Duration::from_millis(400);
 /// The longest that it is left alone.
 const PAUSE_MOST: Duration = Duration::from_secs(3);
+/// How long an adapter that an endpoint is said to hold, and does not, is given to arrive: one loads
+/// within 10 ms where few are under way; twice as long each further time.
+const ARRIVING: Duration = Duration::from_millis(15);
+/// The times that it is waited for; then the endpoint counts as lacking it.
+const ARRIVING_TIMES: u32 = 3;
 /// A report of load is worth nothing after this time.
 const LOAD_AGE: Duration = Duration::from_secs(2);
 
@@ -128,6 +133,8 @@
 struct Endpoint {
     listing: Listing,
     resident: FastMap<ModelId, FastSet<AdapterId>>,
+    /// Adapters that it is said to hold but did not, until when they are waited for, and how often.
+    arriving: FastMap<Wanted, (Duration, u32)>,
     load: Load,
     loaded: Duration,
     /// This VM's requests there now.
@@ -162,6 +169,7 @@
             if endpoint.listing.service == listing.service {
                 if endpoint.listing.born != listing.born {
                     endpoint.resident.clear();
+                    endpoint.arriving.clear();
                     endpoint.load = Load::default();
                     endpoint.since = 0;
                     endpoint.streak = 0;
@@ -176,6 +184,7 @@
         let endpoint = Endpoint {
             listing,
             resident: FastMap::default(),
+            arriving: FastMap::default(),
             load: Load::default(),
             loaded: Duration::ZERO,
             open: 0,
@@ -204,6 +213,12 @@
     ) {
         if let Some(endpoint) = self.endpoints.get_mut(name) {
             endpoint.resident = resident;
+            let Endpoint { resident, arriving, .. } = endpoint;
+            arriving.retain(|wanted, _| {
+                let adapters = resident.get(&wanted.model);
+                let adapter = wanted.adapter.as_ref();
+                adapters.zip(adapter).is_some_and(|(held, adapter)| held.contains(adapter))
+            });
         }
     }
 
@@ -239,18 +254,32 @@
     }
 
     /// Notes that an endpoint says it lacks what was asked of it.
-    pub fn on_lacking(&mut self, name: &EndpointId, wanted: &Wanted) {
-        let Some(endpoint) = self.endpoints.get_mut(name) else { return };
-        match &wanted.adapter {
-            Some(adapter) => {
-                if let Some(adapters) = endpoint.resident.get_mut(&wanted.model) {
-                    adapters.remove(adapter);
-                }
-            }
-            None => {
-                endpoint.resident.remove(&wanted.model);
-            }
+    ///
+    /// Returns after what time it may be asked again, where an adapter is still on its way.
+    pub fn on_lacking(
+        &mut self,
+        name: &EndpointId,
+        wanted: &Wanted,
+        now: Duration,
+    ) -> Option<Duration> {
+        let endpoint = self.endpoints.get_mut(name)?;
+        let Some(adapter) = &wanted.adapter else {
+            endpoint.resident.remove(&wanted.model);
+            return None;
+        };
+        let adapters = endpoint.resident.get_mut(&wanted.model)?;
+        let (until, times) = endpoint.arriving.get(wanted).copied().unwrap_or_default();
+        if now < until {
+            return Some(until - now);
+        }
+        if times < ARRIVING_TIMES {
+            let wait = ARRIVING * 2u32.pow(times);
+            endpoint.arriving.insert(wanted.clone(), (now + wait, times + 1));
+            return Some(wait);
         }
+        endpoint.arriving.remove(wanted);
+        adapters.remove(adapter);
+        None
     }
 
     /// Picks an endpoint and counts the request there; [`finish`](Self::finish) ends it.
@@ -266,7 +295,7 @@
             if !endpoint.listing.ready {
                 continue;
             }
-            shortage = match endpoint.lacks(need) {
+            shortage = match endpoint.lacks(need, now) {
                 Some(lack) => {
                     shortage = shortage.worse(lack);
                     continue;
@@ -412,13 +441,15 @@
 }
 
 impl Endpoint {
-    fn lacks(&self, need: &Need) -> Option<Shortage> {
+    fn lacks(&self, need: &Need, now: Duration) -> Option<Shortage> {
         let wanted = need.wanted.as_ref()?;
         let Some(adapters) = self.resident.get(&wanted.model) else {
             return Some(Shortage::NotResident);
         };
         let adapter = wanted.adapter.as_ref()?;
-        (!adapters.contains(adapter)).then_some(Shortage::NoAdapter)
+        let arrives = |(until, _): &(Duration, u32)| now < *until;
+        let arriving = self.arriving.get(wanted).is_some_and(arrives);
+        (arriving || !adapters.contains(adapter)).then_some(Shortage::NoAdapter)
     }
 
     /// Estimates how many requests run and wait there.
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -146,6 +146,31 @@
     }
 }
 
+/// An endpoint says that it lacks an adapter which it is said to hold: it is asked again in moments,
+/// and given up after some (akv-kalip quiet-1: one request in forty was refused after 0.4 s, as
+/// nothing said any more that the adapter had arrived).
+#[test]
+fn an_adapter_on_its_way_is_waited_for() {
+    let mut dispatcher = dispatcher(&["e1"]);
+    let adapters: FastSet<_> = ["a1".into()].into_iter().collect();
+    let resident: Resident = [("m".into(), adapters)].into_iter().collect();
+    dispatcher.set_resident(&"e1".into(), resident);
+    let wanted = Wanted { model: "m".into(), adapter: Some("a1".into()) };
+    let mut asking = need(NOW + AIM, 0);
+    asking.wanted = Some(wanted.clone());
+    let mut now = NOW;
+    for _ in 0..3 {
+        let name = dispatcher.pick(&asking, 1, now).expect("it is said to be there");
+        dispatcher.finish(&name, Ending::Neutral, now);
+        let wait = dispatcher.on_lacking(&name, &wanted, now).expect("it may arrive yet");
+        assert!(wait < AIM / 4, "{wait:?}");
+        assert_eq!(dispatcher.pick(&asking, 1, now), Err(Shortage::NoAdapter));
+        now += wait;
+    }
+    assert_eq!(dispatcher.on_lacking(&"e1".into(), &wanted, now), None);
+    assert_eq!(dispatcher.pick(&asking, 1, now), Err(Shortage::NoAdapter));
+}
+
 /// A restarted endpoint holds nothing, and its former load says nothing.
 #[test]
 fn a_new_start_of_an_endpoint_holds_nothing() {
--- a/crates/entry/src/process/desk.rs
+++ b/crates/entry/src/process/desk.rs
@@ -68,9 +68,16 @@
         self.desk.state().dispatcher.busy(&self.name, boot_now())
     }
 
-    /// Notes that the endpoint lacks what was asked of it.
-    pub(crate) fn on_lacking(&self, wanted: &Wanted) {
-        self.desk.state().dispatcher.on_lacking(&self.name, wanted);
+    /// Notes that the endpoint lacks what was asked of it; returns whether it is on its way there.
+    pub(crate) fn on_lacking(&self, wanted: &Wanted) -> bool {
+        let wait = self.desk.state().dispatcher.on_lacking(&self.name, wanted, boot_now());
+        let Some(wait) = wait else { return false };
+        let desk = self.desk.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(wait).await;
+            desk.pump();
+        });
+        true
     }
 }
 
--- a/crates/entry/src/process/lead/orders.rs
+++ b/crates/entry/src/process/lead/orders.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bamboocourse_decide::{EndpointId, Fence, Reply, Report};
+use bamboocourse_decide::{Command, EndpointId, Fence, Reply, Report};
 use log::info;
 
 use super::places::Due;
@@ -50,6 +50,10 @@
                     Ok(Err(_)) | Err(_) => Reply::Lost,
                 }
             };
+            if matches!((command, reply), (Command::Fetch(..), Reply::Accepted)) {
+                // Requests that came before it would be turned away.
+                tokio::time::sleep(due.planned.takes).await;
+            }
             metrics.orders.add(1, &[]);
             info!(endpoint = name.as_str(), command:?, number = due.number, fence,
                 why = due.planned.why.as_str(), reply:?; "an order was given");
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -253,6 +253,9 @@
             need.tried.push(place.name.clone());
             trace.sent(&place.name, place.filled);
             let sent = self.send(&job, place, job.call.resumes, runs, trace).await;
+            if matches!(sent, Sent::TooEarly(_)) {
+                need.tried.pop();
+            }
             let may_repeat = job.route.repeat.again() && runs + 1 < job.route.attempts;
             match sent {
                 Sent::Answer(answer) => {
@@ -267,7 +270,7 @@
                         }
                     }
                 }
-                Sent::NotRun(refusal) => {
+                Sent::NotRun(refusal) | Sent::TooEarly(refusal) => {
                     sheds += 1;
                     if sheds >= SHED_MOST {
                         return Err(failure.unwrap_or(refusal));
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -177,6 +177,10 @@
                     self.trace.note("endpoint failed");
                 }
                 Sent::NotRun(_) => sheds += 1,
+                Sent::TooEarly(_) => {
+                    sheds += 1;
+                    self.tried.pop();
+                }
                 Sent::Unknown(_) => self.runs += 1,
             }
         }
--- a/crates/entry/src/request/send.rs
+++ b/crates/entry/src/request/send.rs
@@ -39,6 +39,8 @@
     Answer(Box<Answer>),
     /// The request was certainly not run.
     NotRun(Refusal),
+    /// The same, as what it needs is still on its way to the endpoint.
+    TooEarly(Refusal),
     /// The request may have run.
     Unknown(Refusal),
 }
@@ -133,13 +135,15 @@
                 lent.keep(idle);
             }
             let lacking = head.status == 421;
-            if lacking && let Some(wanted) = &job.call.wanted {
-                place.on_lacking(wanted);
-            }
+            let detail = format!("{} answered {} and did not run it", place.name, head.status);
+            let refusal = Refusal::not_run(Kind::Overloaded, detail).after(COME_BACK);
             trace.note(if lacking { "endpoint lacks it" } else { "endpoint is full" });
             place.end(if lacking { Ending::Neutral } else { Ending::Shed });
-            let detail = format!("{} answered {} and did not run it", place.name, head.status);
-            return Sent::NotRun(Refusal::not_run(Kind::Overloaded, detail).after(COME_BACK));
+            let wanted = job.call.wanted.as_ref().filter(|_| lacking);
+            if wanted.is_some_and(|wanted| place.on_lacking(wanted)) {
+                return Sent::TooEarly(refusal);
+            }
+            return Sent::NotRun(refusal);
         }
         if said.id.is_none() || !said.sealed {
             trace.note("answer without a seal");
