A giver of orders tells the next one which endpoints it left alone

Cause: each change of the lease's holder stopped all orders for 3.4 s, since orders of two givers to one endpoint must lie a lease apart. A rolling restart changes it again and again, and adapters are refused meanwhile.

Change: a holder that gives the lease up tells, over the peer links, how long each endpoint that it ordered lately must be left alone; the next holder waits only for these. A holder that is lost without a word still costs the whole wait.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -50,6 +50,7 @@
 };
 pub use process::placement::plan::{Host, Placeable, Placer, Reason, Step as PlanStep};
 pub use process::placement::station::{Command, Reply, Report, Resident, Station};
+pub use process::placement::succession::{Handover, Succession};
 pub use process::window::Window;
 pub use request::budget::{RepeatBudget, RepeatLimit};
 pub use request::dispatch::{Dispatcher, Ending, Listing, Need, Shortage, Turn, Wanted};
--- a/crates/decide/src/process/placement/mod.rs
+++ b/crates/decide/src/process/placement/mod.rs
@@ -8,3 +8,4 @@
 pub(crate) mod ledger;
 pub(crate) mod plan;
 pub(crate) mod station;
+pub(crate) mod succession;
--- a/crates/entry/src/process/lead/mod.rs
+++ b/crates/entry/src/process/lead/mod.rs
@@ -14,7 +14,8 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    EndpointId, FastMap, Fence, Incarnation, Lease, LeaseEvent, Reply, Report, Terms, VmId,
+    EndpointId, FastMap, Fence, Handover, Incarnation, Lease, LeaseEvent, Reply, Report,
+    Succession, Terms, VmId,
 };
 use log::info;
 use tokio::sync::{mpsc, watch};
@@ -59,8 +60,8 @@
     Listed(EndpointId),
     /// The holder of the lease was heard of, and which version of its row it wrote last.
     Heard(Fence, StoreVersion),
-    /// The holder has given the lease up.
-    Resigned(Fence),
+    /// The holder has given the lease up, and what the next one must wait.
+    Resigned(Fence, Handover),
     /// The connection to the holder of the lease has ended.
     Lost,
     /// The row of the lease was read.
@@ -104,6 +105,8 @@
     leaving: bool,
     peers: FastMap<PeerId, Peer>,
     held: Option<Holding>,
+    /// What the last holder that gave the lease up left, and when it was heard of.
+    handover: Option<(Fence, Handover, Duration)>,
     started: Duration,
 }
 
@@ -122,7 +125,7 @@
 /// What exists while this VM holds the lease.
 struct Holding {
     fence: Fence,
-    orders_from: Duration,
+    succession: Succession,
     accounts: Accounts,
     places: Places,
     /// When a renewal was last tried, and when one last succeeded.
@@ -148,6 +151,7 @@
             leaving: false,
             peers: FastMap::default(),
             held: None,
+            handover: None,
             started: boot_now(),
         }
     }
@@ -185,8 +189,10 @@
                     self.lease.handle(LeaseEvent::Renewed(fence, version, now));
                 }
             }
-            Event::Resigned(fence) => {
-                info!(fence; "the lease's holder has given it up");
+            Event::Resigned(fence, handover) => {
+                info!(fence, rest_ms = handover.rest.as_millis() as u64,
+                    waits = handover.endpoints.len(); "the lease's holder has given it up");
+                self.handover = Some((fence, handover, now));
                 self.lease.handle(LeaseEvent::Resigned(fence));
                 self.heard = Duration::ZERO;
                 // A VM that was restarted lately will hardly be the next to leave: it looks first.
@@ -201,6 +207,7 @@
             Event::Wrote(row, result) => self.on_wrote(*row, result, now),
             Event::Replied(name, reply) => {
                 if let Some(held) = &mut self.held {
+                    held.succession.end(&name, now);
                     held.places.on_reply(&name, reply, now);
                 }
                 self.plan(now);
@@ -350,8 +357,11 @@
         let (Some(held), Some(fleet)) = (&mut self.held, self.handles.board.fleet()) else {
             return;
         };
-        let may_order = !self.leaving && now >= held.orders_from && now + ORDER_LEAST < until;
-        let orders = held.places.plan(&fleet, may_order, now);
+        let may_order = !self.leaving && now + ORDER_LEAST < until;
+        let orders = held.places.plan(&fleet, may_order.then_some(&held.succession), now);
+        for order in &orders {
+            held.succession.begin(&order.planned.endpoint);
+        }
         let fence = held.fence;
         self.tell_changes();
         for order in orders {
--- a/crates/entry/src/process/lead/orders.rs
+++ b/crates/entry/src/process/lead/orders.rs
@@ -13,7 +13,7 @@
 use crate::edge::{OrderHead, Protocol};
 
 /// How long an endpoint may take to answer an order or a question.
-const ANSWER_WAIT: Duration = Duration::from_millis(700);
+pub(super) const ANSWER_WAIT: Duration = Duration::from_millis(700);
 /// The time left of the lease below which no order is sent.
 pub(super) const ORDER_LEAST: Duration = Duration::from_millis(200);
 /// The largest report of an endpoint, in bytes.
--- a/crates/entry/src/process/lead/places.rs
+++ b/crates/entry/src/process/lead/places.rs
@@ -4,9 +4,8 @@
 
 use bamboocourse_decide::{
     EndpointId, FastMap, FastSet, Fleet, FleetPlanner, Intake, ModelId, Move, Reply, Report,
-    ServiceId, Site, Station, VmId,
+    ServiceId, Site, Station, Succession, VmId,
 };
-use log::info;
 
 use crate::edge::ListedEndpoint;
 use crate::process::settings::Bounds;
@@ -142,8 +141,13 @@
         }
     }
 
-    /// Takes in the demand of all VMs, and plans the orders to give now if they may be given.
-    pub(crate) fn plan(&mut self, fleet: &Fleet, may_order: bool, now: Duration) -> Vec<Due> {
+    /// Takes in the demand of all VMs, and plans the orders to give now where they may be given.
+    pub(crate) fn plan(
+        &mut self,
+        fleet: &Fleet,
+        succession: Option<&Succession>,
+        now: Duration,
+    ) -> Vec<Due> {
         let mut orders = Vec::new();
         for (name, service) in &fleet.services {
             let Some(engine) = &service.engine else { continue };
@@ -158,9 +162,7 @@
                 intake.fill(taken);
             }
             planner.on_demand(total_demand(&self.demand, name, now), now);
-            if !may_order {
-                continue;
-            }
+            let Some(succession) = succession else { continue };
             let mut sites: Vec<Site> = self
                 .stations
                 .iter()
@@ -168,7 +170,11 @@
                     let own = listed.listing.service == *name;
                     own && listed.listing.ready && !station.down()
                 })
-                .map(|(name, (station, listed))| site(name, station, listed, now))
+                .map(|(name, (station, listed))| {
+                    let mut site = site(name, station, listed, now);
+                    site.idle &= succession.may(name, now);
+                    site
+                })
                 .collect();
             sites.sort_by(|a, b| a.name.cmp(&b.name));
             for planned in planner.plan(engine, &mut sites, intake, now) {
@@ -218,11 +224,6 @@
             left: due.saturating_sub(now).as_millis() as u32,
         })
     }
-
-    /// Logs what is held, for the moment that the lease is taken.
-    pub(crate) fn log_start(&self) {
-        info!(endpoints = self.stations.len(); "placement begins");
-    }
 }
 
 fn site(name: &EndpointId, station: &Station, listed: &ListedEndpoint, now: Duration) -> Site {
--- a/crates/entry/src/process/lead/tenure.rs
+++ b/crates/entry/src/process/lead/tenure.rs
@@ -2,16 +2,18 @@
 
 use std::time::Duration;
 
-use bamboocourse_decide::{Fence, LeaseEvent, LeaseRow, Outcome, Proposal, VmId};
+use bamboocourse_decide::{Fence, LeaseEvent, LeaseRow, Outcome, Proposal, Succession, VmId};
 use bytes::Bytes;
 use log::{info, warn};
 
+use super::orders::ANSWER_WAIT;
 use super::places::Places;
 use super::row::{LEAD_KEY, LeadRow};
 use super::tokens::Accounts;
 use super::{Event, Holding, Lead, LeadMessage};
 use crate::edge::clock::boot_now;
 use crate::edge::{StoreError, StoreRow, StoreRows, Table, Written};
+use crate::wire::Wait;
 
 /// How long a renewal of the lease lasts.
 pub(super) const TERM: Duration = Duration::from_millis(2_600);
@@ -154,7 +156,7 @@
             (None, Some(former)) => (former.orderer.clone(), former.orders_from),
             (None, None) => (VmId::default(), 0),
             (Some(held), _) => {
-                let from = held.orders_from.as_millis() as i64 + self.offset;
+                let from = held.succession.whole().as_millis() as i64 + self.offset;
                 (self.handles.settings.vm.clone(), from.max(0) as u64)
             }
         };
@@ -245,14 +247,20 @@
     fn take_over(&mut self, fence: Fence, before: Option<LeadRow>, now: Duration) {
         let settings = &self.handles.settings;
         let gap = settings.bounds.lease + ORDER_MARGIN;
-        let orders_from = match &before {
+        let succession = match &before {
             // Without a former row there is no former giver of orders.
-            None => now,
+            None => Succession::new(gap, ANSWER_WAIT, now),
             // This machine gave the last orders itself; its former wait holds on.
             Some(row) if row.orderer == settings.vm => {
-                now.max(self.local_time(row.orders_from, now + gap))
+                let from = now.max(self.local_time(row.orders_from, now + gap));
+                Succession::new(gap, ANSWER_WAIT, from)
             }
-            Some(_) => now + gap,
+            Some(row) => match &self.handover {
+                Some((fence, handover, at)) if *fence == row.lease.fence => {
+                    Succession::after(gap, ANSWER_WAIT, handover, *at)
+                }
+                _ => Succession::new(gap, ANSWER_WAIT, now + gap),
+            },
         };
         let taken = before.as_ref().map(|_| now);
         let (noted, pools, floors, past) = before
@@ -265,11 +273,11 @@
         });
         let past = past.collect();
         self.handles.metrics.leases.add(1, &[]);
-        info!(fence, orders_in_ms = (orders_from - now).as_millis() as u64;
+        info!(fence, orders_in_ms = succession.whole().saturating_sub(now).as_millis() as u64;
             "this VM holds the fleet's lease");
         let held = Holding {
             fence,
-            orders_from,
+            succession,
             accounts: Accounts::new(settings.bounds, pools, noted, floors, past, now),
             places: Places::new(settings.bounds, taken),
             // What pools may give is recorded at once.
@@ -278,7 +286,6 @@
             row: 0,
             version: 0,
         };
-        held.places.log_start();
         self.held = Some(held);
         self.handles.leader.send_replace(None);
         self.apply(now);
@@ -293,7 +300,18 @@
 
     fn tell_resigned(&self) {
         let Some(held) = &self.held else { return };
-        let message = LeadMessage { fence: held.fence, resigned: true, ..LeadMessage::default() };
+        let handover = held.succession.hand_over(boot_now());
+        let waits = handover.endpoints.iter().map(|(endpoint, left)| Wait {
+            endpoint: endpoint.to_string(),
+            left: left.as_millis() as u32,
+        });
+        let message = LeadMessage {
+            fence: held.fence,
+            resigned: true,
+            rest: handover.rest.as_millis() as u32,
+            waits: waits.collect(),
+            ..LeadMessage::default()
+        };
         for peer in self.peers.values() {
             // A connection that has ended says so by an event of its own.
             let _ = peer.sender.send(message.clone());
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use bamboocourse_decide::Incarnation;
+use bamboocourse_decide::{EndpointId, Handover, Incarnation};
 use futures_util::{SinkExt, StreamExt};
 use log::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
@@ -295,7 +295,11 @@
         }
         // Only a process that is ending has no receiver.
         let _ = self.events.send(if answer.resigned {
-            Event::Resigned(answer.fence)
+            let waits = answer.waits.iter().map(|wait| {
+                (EndpointId::new(&wait.endpoint), Duration::from_millis(u64::from(wait.left)))
+            });
+            let rest = Duration::from_millis(u64::from(answer.rest));
+            Event::Resigned(answer.fence, Handover { rest, endpoints: waits.collect() })
         } else {
             Event::Heard(answer.fence, answer.renewed)
         });
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -154,6 +154,19 @@
     /// The sender's boot clock, in milliseconds.
     #[prost(uint64, tag = "17")]
     pub clock: u64,
+    /// Of a sender that gives the lease up: how long endpoints must be left alone by the next one, in
+    /// milliseconds, and how long those that are named.
+    #[prost(uint32, tag = "18")]
+    pub rest: u32,
+    #[prost(message, repeated, tag = "19")]
+    pub waits: ::prost::alloc::vec::Vec<Wait>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Wait {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub left: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Ceiling {
--- a/crates/entry/src/wire/mod.rs
+++ b/crates/entry/src/wire/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) use fleet::frame::Body;
 pub(crate) use fleet::{
     AdapterUse, Ceiling, Demand, FloorSpend, Frame, Held, HeldModel, Lead, ListRow, Spend, Status,
+    Wait,
 };
 
 /// The largest frame between VMs, in bytes: a configuration with many routes.
