--- a/crates/decide/src/process/allowance/pool.rs
+++ b/crates/decide/src/process/allowance/pool.rs
@@ -69,6 +69,25 @@
     pub unheard: BTreeMap<VmId, Unheard>,
 }
 
+impl PoolNote {
+    /// Puts what single VMs may spend or may have spent into one sum, which counts for longer.
+    ///
+    /// ```
+    /// use bamboocourse_decide::PoolNote;
+    /// let mut note = PoolNote::default();
+    /// note.open.extend([("vm-1".into(), 3), ("vm-2".into(), 4)]);
+    /// note.fold();
+    /// assert_eq!(note.open.values().copied().collect::<Vec<_>>(), [7]);
+    /// ```
+    pub fn fold(&mut self) {
+        let open = self.open.values().sum();
+        self.open = BTreeMap::from([(ANYONE.into(), open)]);
+        let tokens = self.unheard.values().map(|one| one.tokens).sum();
+        let age = self.unheard.values().map(|one| one.age).max().unwrap_or(0);
+        self.unheard = BTreeMap::from([(ANYONE.into(), Unheard { tokens, age })]);
+    }
+}
+
 /// What a VM may have spent since a former holder's record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Unheard {
@@ -244,7 +263,9 @@
         member.most = member.most.max(member.ceiling + given);
         member.ceiling += given;
         member.lapses = now + CEILING_TERM + CEILING_MARGIN;
-        Ceiling { tokens: member.ceiling, hungry: given < need && open + given < least }
+        // Where only the record holds it back, more is granted within moments.
+        let spent = given < need && room / share <= given;
+        Ceiling { tokens: member.ceiling, hungry: spent && open + given < least }
     }
 
     /// Returns the pool's size, what was spent, what VMs hold, and what may have been spent unheard.
--- a/crates/decide/tests/allowance.rs
+++ b/crates/decide/tests/allowance.rs
@@ -37,6 +37,8 @@
     cut: [bool; VMS],
     holder: Option<(u64, TokenPool)>,
     note: (PoolNote, Duration),
+    /// Whether the store's row is too short for what single VMs may spend.
+    short_row: bool,
     /// What each VM had last told the holder of its floor, and the same as it is recorded.
     told: Vec<Option<(Duration, Vec<u64>)>>,
     recorded: Vec<Option<(Duration, Vec<u64>)>>,
@@ -55,6 +57,7 @@
             cut: [false; VMS],
             holder: None,
             note: (PoolNote::default(), Duration::ZERO),
+            short_row: false,
             told: vec![None; VMS],
             recorded: vec![None; VMS],
             fence: 0,
@@ -79,6 +82,9 @@
     fn record(&mut self) {
         if let Some((_, pool)) = &mut self.holder {
             self.note = (pool.next_note(self.now), self.now);
+            if self.short_row {
+                self.note.0.fold();
+            }
             self.recorded = self.told.clone();
             pool.on_recorded();
         }
@@ -192,6 +198,7 @@
     Relieve(usize, u64),
     Kill(usize, u64),
     KillAll(u64),
+    ShortRow(bool),
     RestartAll,
     /// The holder of the pool is lost, and another follows after a time.
     Follow(u64),
@@ -207,6 +214,7 @@
         2 => (0..VMS, 0..2_000u64).prop_map(|(vm, pause)| Step::Relieve(vm, pause)),
         2 => (0..VMS, 0..2_000u64).prop_map(|(vm, pause)| Step::Kill(vm, pause)),
         2 => (0..2_000u64).prop_map(Step::KillAll),
+        1 => any::<bool>().prop_map(Step::ShortRow),
         1 => Just(Step::RestartAll),
         2 => (0..4_000u64).prop_map(Step::Follow),
         1 => Just(Step::Unheld),
@@ -232,6 +240,7 @@
                 Step::Restart(vm) => world.restart(vm),
                 Step::Kill(vm, pause) => world.kill(vm, Duration::from_millis(pause)),
                 Step::KillAll(pause) => world.kill_all(Duration::from_millis(pause)),
+                Step::ShortRow(short) => world.short_row = short,
                 Step::Relieve(vm, pause) => world.relieve(vm, Duration::from_millis(pause)),
                 Step::RestartAll => {
                     world.holder = None;
--- a/crates/entry/src/process/lead/mod.rs
+++ b/crates/entry/src/process/lead/mod.rs
@@ -5,7 +5,7 @@
 
 mod orders;
 mod places;
-mod row;
+pub(crate) mod row;
 mod tenure;
 mod tokens;
 
--- a/crates/entry/src/process/lead/tenure.rs
+++ b/crates/entry/src/process/lead/tenure.rs
@@ -84,7 +84,7 @@
     fn observe(&mut self, row: Option<&StoreRow>, now: Duration) {
         let read = row.and_then(|row| {
             let value = row.value.as_ref()?;
-            match serde_json::from_slice::<LeadRow>(value) {
+            match LeadRow::decode(value) {
                 Ok(lead) => Some((row.version, lead)),
                 Err(error) => {
                     warn!(row = row.version, error:%; "the lease's row cannot be read");
@@ -163,7 +163,7 @@
         let (orderer, orders_from) = orderer;
         let row =
             LeadRow { lease: proposal.row, peer, noted, pools, floors, past, orderer, orders_from };
-        let value = match serde_json::to_vec(&row) {
+        let value = match row.encode(self.handles.settings.bounds.row_most) {
             Ok(value) => Bytes::from(value),
             Err(error) => {
                 warn!(error:%; "the lease's row cannot be written");
--- a/crates/entry/src/process/settings.rs
+++ b/crates/entry/src/process/settings.rs
@@ -47,6 +47,8 @@
     pub intake_window: Duration,
     /// The factor by which they may exceed the weight store's rate.
     pub intake_excess: f64,
+    /// The longest row of the store, in bytes.
+    pub row_most: usize,
     /// How long after the store's return endpoints that vanished may come back.
     pub list_return: Duration,
 }
