A restarted process begins without the slack for repeats

Cause: each VM has its part of a service's slack for repeats; a process that was killed and came back had it anew within the same window, so that after a kill of all VMs twice the slack could be used.

Change: a process that does not start with the whole system has no slack for one window; its part of the requests holds from the start. The property test (8 VMs, kills of one and of all) finds 71 repeats of 70 allowed without the change.

--- a/crates/decide/src/request/budget.rs
+++ b/crates/decide/src/request/budget.rs
@@ -22,23 +22,26 @@
 #[derive(Debug, Clone)]
 pub struct RepeatBudget {
     limit: RepeatLimit,
+    /// From when on the slack may be used: a former process of this VM may have used it until then.
+    opens: Duration,
     requests: Window,
     repeats: Window,
 }
 
 impl RepeatBudget {
-    /// Makes a budget that nothing has been taken from.
+    /// Makes a budget that nothing has been taken from, whose slack may be used from a time on.
     ///
     /// ```
     /// use bamboocourse_decide::{RepeatBudget, RepeatLimit};
     /// use std::time::Duration;
     /// let limit = RepeatLimit { ratio: 0.2, slack: 8.0, window: Duration::from_secs(10) };
-    /// let mut budget = RepeatBudget::new(limit);
+    /// let mut budget = RepeatBudget::new(limit, Duration::ZERO);
     /// assert!(budget.take(4, Duration::ZERO));
     /// assert!(!budget.take(4, Duration::ZERO));
     /// ```
-    pub fn new(limit: RepeatLimit) -> Self {
-        Self { limit, requests: Window::new(limit.window), repeats: Window::new(limit.window) }
+    pub fn new(limit: RepeatLimit, opens: Duration) -> Self {
+        let (requests, repeats) = (Window::new(limit.window), Window::new(limit.window));
+        Self { limit, opens, requests, repeats }
     }
 
     /// Notes a first send.
@@ -48,7 +51,8 @@
 
     /// Takes one repeat, where so many VMs share the slack.
     pub fn take(&mut self, vms: usize, now: Duration) -> bool {
-        let share = self.limit.slack / vms.max(1) as f64;
+        let open = now >= self.opens;
+        let share = if open { self.limit.slack / vms.max(1) as f64 } else { 0.0 };
         let allowed = self.limit.ratio * self.requests.total(now) as f64 + share;
         if (self.repeats.total(now) + 1) as f64 > allowed * USED_PART {
             return false;
--- a/crates/entry/src/process/purse.rs
+++ b/crates/entry/src/process/purse.rs
@@ -22,6 +22,8 @@
     started: Duration,
     /// From when floors may be used: a former process of this VM may have used its own until then.
     opens: Duration,
+    /// The same of what services' budgets for repeats allow beside a share of the requests.
+    repeats_from: Duration,
     /// Rung when a ceiling was raised.
     pub(crate) granted: Notify,
     /// Rung when a ceiling is too low.
@@ -100,6 +102,7 @@
             bounds,
             started,
             opens,
+            repeats_from: if first { Duration::ZERO } else { started + bounds.repeats.window },
             granted: Notify::new(),
             short: Notify::new(),
         }
@@ -339,7 +342,7 @@
     /// Counts a first send to a service.
     pub(crate) fn on_request(&self, service: &ServiceId) {
         let limit = self.bounds.repeats;
-        self.state().budget(service, limit).on_request(boot_now());
+        self.state().budget(service, limit, self.repeats_from).on_request(boot_now());
     }
 
     /// Takes one repeat to a service out of the budget.
@@ -347,7 +350,7 @@
         let limit = self.bounds.repeats;
         let mut state = self.state();
         let vms = state.vms;
-        state.budget(service, limit).take(vms, boot_now())
+        state.budget(service, limit, self.repeats_from).take(vms, boot_now())
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -356,7 +359,12 @@
 }
 
 impl State {
-    fn budget(&mut self, service: &ServiceId, limit: RepeatLimit) -> &mut RepeatBudget {
-        self.repeats.entry(service.clone()).or_insert_with(|| RepeatBudget::new(limit))
+    fn budget(
+        &mut self,
+        service: &ServiceId,
+        limit: RepeatLimit,
+        opens: Duration,
+    ) -> &mut RepeatBudget {
+        self.repeats.entry(service.clone()).or_insert_with(|| RepeatBudget::new(limit, opens))
     }
 }
