One place for a pool's charge and for a former process's floor

The pool summed what is spent, open and unheard a second time beside its state; what a former process had spent of a floor was put together once for the row's word and once for the holder's; the two waits after a restart had the same rule twice. Each stands once now.

--- a/crates/decide/src/process/allowance/pool.rs
+++ b/crates/decide/src/process/allowance/pool.rs
@@ -291,10 +291,8 @@
 
     /// Returns what may have been spent within a window, or may be at any moment.
     pub fn charged(&mut self, now: Duration) -> Tokens {
-        let open: Tokens = self.members.values().map(|m| m.ceiling - m.spent).sum();
-        let unknown: Tokens =
-            if now < self.unknown_until { self.unknown.values().map(|one| one.0).sum() } else { 0 };
-        self.used.total(now) + open + unknown
+        let [_, used, open, unheard] = self.state(now);
+        used + open + unheard
     }
 
     fn headroom_least(&self) -> Tokens {
--- a/crates/entry/src/process/purse.rs
+++ b/crates/entry/src/process/purse.rs
@@ -84,7 +84,7 @@
 impl Purse {
     pub(crate) fn new(bounds: Bounds, first: bool) -> Self {
         let started = boot_now();
-        let opens = if first { Duration::ZERO } else { started + bounds.quota_window };
+        let after = |window| if first { Duration::ZERO } else { started + window };
         let state = State {
             spenders: FastMap::default(),
             limits: FastMap::default(),
@@ -101,8 +101,8 @@
             state: Mutex::new(state),
             bounds,
             started,
-            opens,
-            repeats_from: if first { Duration::ZERO } else { started + bounds.repeats.window },
+            opens: after(bounds.quota_window),
+            repeats_from: after(bounds.repeats.window),
             granted: Notify::new(),
             short: Notify::new(),
         }
@@ -125,7 +125,9 @@
                 None => {
                     let mut spender = Spender::new(*limit, floor, self.opens);
                     if let Some((past, at)) = &past {
-                        spender.restore(&self.past_of(name, past, *at), boot_now());
+                        let now = boot_now();
+                        let parts = past.parts(name);
+                        spender.restore(&self.past_floor(parts, past.whole, *at, now), now);
                     }
                     state.spenders.insert(name.clone(), spender);
                 }
@@ -233,11 +235,11 @@
     /// `whole` says that it spent nothing since.
     pub(crate) fn on_past(&self, past: &[FloorSpend], whole: bool, age: Duration) {
         let now = boot_now();
-        let lived = self.started.saturating_sub(now.saturating_sub(age));
+        let at = now.saturating_sub(age);
         let mut state = self.state();
         for one in past {
             if let Some(spender) = state.spenders.get_mut(one.workspace.as_str()) {
-                spender.restore(&PastFloor { parts: one.parts.clone(), whole, age, lived }, now);
+                spender.restore(&self.past_floor(one.parts.clone(), whole, at, now), now);
             }
         }
     }
@@ -255,7 +257,7 @@
         let floor = weight.max(state.floor);
         self.set_floor(&mut state, floor);
         for (name, spender) in &mut state.spenders {
-            spender.restore(&self.past_of(name, &past, at), now);
+            spender.restore(&self.past_floor(past.parts(name), past.whole, at, now), now);
         }
         state.past = Some((past, at));
         state.funded = true;
@@ -263,13 +265,17 @@
         self.granted.notify_waiters();
     }
 
-    fn past_of(&self, workspace: &str, past: &FloorPast, at: Duration) -> PastFloor {
-        PastFloor {
-            parts: past.parts(workspace),
-            whole: past.whole,
-            age: boot_now().saturating_sub(at),
-            lived: self.started.saturating_sub(at),
-        }
+    /// Returns what the former process had spent of one floor at a time; it ended before this
+    /// process started.
+    fn past_floor(
+        &self,
+        parts: Vec<Tokens>,
+        whole: bool,
+        at: Duration,
+        now: Duration,
+    ) -> PastFloor {
+        let (age, lived) = (now.saturating_sub(at), self.started.saturating_sub(at));
+        PastFloor { parts, whole, age, lived }
     }
 
     fn set_floor(&self, state: &mut State, floor: u64) {
