Count a load from the weight store in every window in which it may begin

Cause: LoadLimiter counted a load at the moment its order was sent. The load begins when the order reaches the endpoint, or up to 13 s later if no reply came, so a window that starts with slow orders and ends with fast ones held more loads than were counted in it. One load a window was reserved for this at any rate; at 16 loads a second the limiter fills 90 of 91.

Change: a load counts from its order until one window after the reply, or after the time until which an order without a reply may be carried out; a refused one leaves its room at once.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -66,12 +66,12 @@
     EndpointRow, EngineState, Item, Ledger, ORDER_DELIVERY_LIMIT, ORDER_RETRY_INTERVAL, OpenOrder,
     Order, OrderDenied, OrderNumber,
 };
-pub use process::placement::load_limiter::LoadLimiter;
+pub use process::placement::load_limiter::{LoadLimiter, LoadOutcome};
 pub use process::placement::quiet_period::{Handover, QuietPeriod};
 pub use process::placement::service::{AdapterKey, EndpointView, PlannedOrder, ServicePlanner};
 pub use process::placement::tracker::{
-    EndpointReport, EndpointTracker, MAX_REPORT_AGE, OrderCommand, OrderKey, OrderReply,
-    ResidentModels,
+    EndpointReport, EndpointTracker, LATE_ORDER_TIMEOUT, MAX_REPORT_AGE, OrderCommand, OrderKey,
+    OrderReply, ResidentModels,
 };
 pub use process::sliding_window::SlidingWindow;
 pub use request::dispatch::{
--- a/crates/decide/src/process/placement/service.rs
+++ b/crates/decide/src/process/placement/service.rs
@@ -96,6 +96,8 @@
     pub command: OrderCommand,
     /// How long the order is expected to take.
     pub expected_time: Duration,
+    /// Whether the order is a load from the weight store, which the limiter has counted.
+    pub from_store: bool,
     /// The reason, for the log.
     pub why: SmolStr,
 }
@@ -186,7 +188,7 @@
     /// Returns the orders to send now, at most one for each endpoint.
     ///
     /// Endpoints that get an order are marked as not idle. Loads from the weight store count
-    /// against the limiter.
+    /// against the limiter, which must be told their outcome.
     pub fn plan(
         &mut self,
         engine: &FleetEngine,
@@ -235,6 +237,7 @@
                 endpoint: endpoint.name.clone(),
                 command,
                 expected_time,
+                from_store: !cached,
                 why,
             });
         }
@@ -280,6 +283,7 @@
                 continue;
             };
             let cached = endpoints[index].cached.contains(&model);
+            let from_store = victim.is_none() && !cached;
             let (command, expected_time) = match victim {
                 Some(victim) => {
                     *replicas.entry(victim.clone()).or_default() -= 1;
@@ -309,6 +313,7 @@
                 endpoint: endpoint.name.clone(),
                 command,
                 expected_time,
+                from_store,
                 why,
             });
         }
@@ -512,6 +517,7 @@
                 endpoint: endpoint.name.clone(),
                 command,
                 expected_time,
+                from_store: false,
                 why,
             });
         }
--- a/crates/decide/src/process/placement/tracker.rs
+++ b/crates/decide/src/process/placement/tracker.rs
@@ -15,7 +15,7 @@
 use crate::map::{FastMap, FastSet};
 
 /// How long after it was sent an order without a reply may still be carried out.
-const LATE_ORDER_TIMEOUT: Duration = Duration::from_secs(13);
+pub const LATE_ORDER_TIMEOUT: Duration = Duration::from_secs(13);
 /// How old the content of an endpoint's report may be: a report requested this long after an event
 /// includes the event.
 pub const MAX_REPORT_AGE: Duration = Duration::from_millis(300);
--- a/crates/decide/tests/service_planner.rs
+++ b/crates/decide/tests/service_planner.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    AdapterId, EndpointView, FastMap, FastSet, FleetEngine, FleetModel, LoadLimiter, ModelId,
-    OrderCommand, ServicePlanner,
+    AdapterId, EndpointView, FastMap, FastSet, FleetEngine, FleetModel, LoadLimiter, LoadOutcome,
+    ModelId, OrderCommand, ServicePlanner,
 };
 
 /// The number of endpoints.
@@ -118,6 +118,9 @@
             let index =
                 self.endpoints.iter().position(|endpoint| endpoint.name == planned.endpoint);
             let index = index.expect("the planner names a known endpoint");
+            if planned.from_store {
+                self.limiter.settle(LoadOutcome::Begun, self.now);
+            }
             let endpoint = &mut self.endpoints[index];
             assert!(endpoint.idle, "an endpoint gets one order at a time");
             endpoint.idle = false;
--- a/crates/decide/tests/tracker.rs
+++ b/crates/decide/tests/tracker.rs
@@ -7,8 +7,8 @@
 
 use bamboocourse_decide::{
     EndpointId, EndpointReport, EndpointTracker, EndpointView, FastMap, FastSet, FleetEngine,
-    FleetModel, LoadLimiter, MAX_REPORT_AGE, ModelId, OrderCommand, OrderKey, OrderReply,
-    ResidentModels, ServicePlanner,
+    FleetModel, LoadLimiter, LoadOutcome, MAX_REPORT_AGE, ModelId, OrderCommand, OrderKey,
+    OrderReply, ResidentModels, ServicePlanner,
 };
 use proptest::prelude::*;
 
@@ -251,6 +251,9 @@
         for planned in self.planner.plan(&engine(), &mut endpoints, &mut self.limiter, self.now) {
             let key =
                 self.tracker.begin_order(planned.command.clone(), planned.expected_time, self.now);
+            if planned.from_store {
+                self.limiter.settle(LoadOutcome::Begun, self.now);
+            }
             let Some(key) = key else { continue };
             let number = key.number;
             self.overloaded |= self.endpoint.lacks_room(&planned.command);
--- a/crates/entry/src/process/coordinator/placement.rs
+++ b/crates/entry/src/process/coordinator/placement.rs
@@ -4,8 +4,8 @@
 
 use bamboocourse_decide::{
     EndpointId, EndpointReport, EndpointTracker, EndpointView, FastMap, FastSet, FleetConfig,
-    LoadLimiter, ModelId, OrderKey, OrderReply, PlannedOrder, QuietPeriod, ServiceId,
-    ServicePlanner, VmId,
+    LATE_ORDER_TIMEOUT, LoadLimiter, LoadOutcome, ModelId, OrderKey, OrderReply, PlannedOrder,
+    QuietPeriod, ServiceId, ServicePlanner, VmId,
 };
 
 use crate::edge::ListedEndpoint;
@@ -34,6 +34,7 @@
 /// An order to send.
 #[derive(Debug)]
 pub(crate) struct IssuedOrder {
+    pub(crate) service: ServiceId,
     pub(crate) planned: PlannedOrder,
     pub(crate) key: OrderKey,
 }
@@ -144,6 +145,11 @@
 
     /// Applies the reply to an order.
     pub(crate) fn on_reply(&mut self, order: &IssuedOrder, reply: OrderReply, now: Duration) {
+        if order.planned.from_store
+            && let Some((_, limiter)) = self.planners.get_mut(&order.service)
+        {
+            limiter.settle(load_outcome(reply, now), now);
+        }
         let name = &order.planned.endpoint;
         let Some((tracker, _)) = self.trackers.get_mut(name) else { return };
         if tracker.on_reply(order.key, reply, now) {
@@ -200,10 +206,15 @@
                 let key = self.trackers.get_mut(&planned.endpoint).and_then(|(tracker, _)| {
                     tracker.begin_order(command, planned.expected_time, now)
                 });
-                let Some(key) = key else { continue };
+                let Some(key) = key else {
+                    if planned.from_store {
+                        limiter.settle(LoadOutcome::NotBegun, now);
+                    }
+                    continue;
+                };
                 self.expected_end.insert(planned.endpoint.clone(), now + planned.expected_time);
                 self.changed.insert(planned.endpoint.clone());
-                orders.push(IssuedOrder { planned, key });
+                orders.push(IssuedOrder { service: name.clone(), planned, key });
             }
         }
         orders
@@ -270,6 +281,19 @@
     }
 }
 
+/// Returns what a reply to the order of a load says about the load.
+fn load_outcome(reply: OrderReply, now: Duration) -> LoadOutcome {
+    match reply {
+        OrderReply::Accepted => LoadOutcome::Begun,
+        OrderReply::Lost => LoadOutcome::UnknownUntil(now + LATE_ORDER_TIMEOUT),
+        OrderReply::Holds
+        | OrderReply::Conflict
+        | OrderReply::Elsewhere
+        | OrderReply::Refused
+        | OrderReply::NotSent => LoadOutcome::NotBegun,
+    }
+}
+
 /// Sums a service's demand over all VMs with a recent report: for each model, the open and the
 /// waiting requests.
 fn total_demand(
