Tell VMs with an older list which endpoints are still listed

Cause: the leader relays removals that it has seen itself.

Change: a leader remembers the version of the first list that it read. To a VM that knows an older list it also sends the names of all listed endpoints; the VM removes the others, after its own wait if it has just seen the end of an outage. Full rows are still sent only where they changed.

--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -26,7 +26,7 @@
 use crate::edge::pool::Pool;
 use crate::edge::{Protocol, Store, StoreError, StoreRow, StoreRows, StoreVersion, WriteOutcome};
 use crate::process::active_fleet::ActiveFleet;
-use crate::process::endpoint_list::EndpointList;
+use crate::process::endpoint_list::{EndpointList, ListUpdate};
 use crate::process::metrics::Metrics;
 use crate::process::quotas::Quotas;
 use crate::process::settings::EntrySettings;
@@ -348,10 +348,12 @@
         {
             updates.config_row = row.value.unwrap_or_default().to_vec();
         }
-        let list = self.handles.endpoint_list.changes_after(status.listed);
-        updates.listed = list.version;
-        if status.listed < list.version {
-            let rows = list.rows.into_iter().map(|row| ListRow {
+        let ListUpdate { changes, live } = self.handles.endpoint_list.changes_after(status.listed);
+        updates.listed = changes.version;
+        updates.whole = live.is_some();
+        updates.live = live.into_iter().flatten().map(Into::into).collect();
+        if status.listed < changes.version {
+            let rows = changes.rows.into_iter().map(|row| ListRow {
                 key: row.key.to_string(),
                 version: row.version,
                 removed: row.value.is_none(),
--- a/crates/entry/src/process/endpoint_list.rs
+++ b/crates/entry/src/process/endpoint_list.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bamboocourse_decide::{EndpointId, FastMap};
+use bamboocourse_decide::{EndpointId, FastMap, FastSet};
 use log::{info, warn};
 use tokio::sync::mpsc;
 
@@ -22,12 +22,23 @@
     state: Mutex<State>,
 }
 
+/// What the leader relays to a VM that knows an older list.
+#[derive(Debug, Default)]
+pub(crate) struct ListUpdate {
+    /// The changed rows, and the version up to which the list is known with them.
+    pub(crate) changes: StoreRows,
+    /// All listed endpoints, if the changes since the VM's version are not all known.
+    pub(crate) live: Option<FastSet<EndpointId>>,
+}
+
 #[derive(Default)]
 struct State {
     rows: FastMap<EndpointId, StoreRow>,
     endpoints: FastMap<EndpointId, ListedEndpoint>,
     /// The store's version up to which the list is known.
     version: StoreVersion,
+    /// The version of the first list that this process read: removals before it are not known.
+    first_version: Option<StoreVersion>,
     /// From when endpoints whose rows have vanished are removed; [`Duration::MAX`] during an outage
     /// of the store. Until then, the outage alone may have made the rows expire.
     removals_from: Duration,
@@ -69,9 +80,11 @@
         self.state().endpoints.get(name).cloned()
     }
 
-    /// Returns the rows that the leader relays to a VM that knows the list up to a version, and the
-    /// version up to which that VM then knows the list.
-    pub(crate) fn changes_after(&self, version: StoreVersion) -> StoreRows {
+    /// Returns what the leader relays to a VM that knows the list up to a version.
+    ///
+    /// A VM that knows an older list than the first one that this process has read also gets the
+    /// names of all listed endpoints, since endpoints may have been removed in between.
+    pub(crate) fn changes_after(&self, version: StoreVersion) -> ListUpdate {
         let now = boot_now();
         let state = self.state();
         let relayed = |name: &EndpointId| match state.removed.get(name) {
@@ -79,7 +92,11 @@
             None => state.relays.get(name).is_some_and(|relay| *relay > version),
         };
         let rows = state.rows.iter().filter(|(name, _)| relayed(name)).map(|(_, row)| row.clone());
-        StoreRows { rows: rows.collect(), version: state.version, ..StoreRows::default() }
+        let changes =
+            StoreRows { rows: rows.collect(), version: state.version, ..StoreRows::default() };
+        let is_older = state.first_version.is_some_and(|first| version < first);
+        let live = is_older.then(|| state.endpoints.keys().cloned().collect());
+        ListUpdate { changes, live }
     }
 
     /// Records that the leader relays changes.
@@ -114,24 +131,51 @@
         state.version = state.version.max(changes.version);
     }
 
-    /// Applies rows that the leader relayed.
+    /// Applies what the leader relayed.
     ///
-    /// Removals take effect at once, since the leader has already waited after an outage.
-    pub(crate) fn on_relayed_rows(self: &Arc<Self>, relayed: &StoreRows) {
-        for row in relayed.rows.iter().filter(|row| row.value.is_none()) {
-            let mut state = self.state();
-            let known = state.rows.get(&row.key).map_or(0, |known| known.version);
-            if known <= row.version {
-                state.rows.insert(row.key.clone(), row.clone());
-                drop(state);
-                self.remove(&row.key, row.version);
+    /// Removals take effect at once, since the leader has already waited after an outage. A leader
+    /// that started after an outage has not, so endpoints that it does not list are kept for as
+    /// long as this VM keeps what vanished in an outage that it saw the end of.
+    pub(crate) fn on_relayed(self: &Arc<Self>, update: &ListUpdate) {
+        let ListUpdate { changes, live } = update;
+        for row in changes.rows.iter().filter(|row| row.value.is_none()) {
+            self.remove_relayed(row, Duration::ZERO);
+        }
+        if let Some(live) = live {
+            let (unlisted, wait) = {
+                let state = self.state();
+                let known = state.endpoints.keys();
+                let unlisted: Vec<_> =
+                    known.filter(|name| !live.contains(*name)).cloned().collect();
+                let wait = match state.removals_from {
+                    // This VM cannot reach the store, but the leader can.
+                    Duration::MAX => Duration::ZERO,
+                    from => from.saturating_sub(boot_now()),
+                };
+                (unlisted, wait)
+            };
+            for key in unlisted {
+                let version = changes.version;
+                self.remove_relayed(&StoreRow { key, value: None, version }, wait);
             }
         }
-        self.on_changes(relayed);
+        self.on_changes(changes);
+    }
+
+    /// Removes an endpoint after a wait, unless a row is known that is newer than the removal.
+    fn remove_relayed(self: &Arc<Self>, row: &StoreRow, wait: Duration) {
+        let mut state = self.state();
+        if state.rows.get(&row.key).is_some_and(|known| known.version > row.version) {
+            return;
+        }
+        state.rows.insert(row.key.clone(), row.clone());
+        drop(state);
+        self.remove_later(row.key.clone(), row.version, wait);
     }
 
     /// Applies the whole list: endpoints without a row have vanished.
     pub(crate) fn on_snapshot(self: &Arc<Self>, snapshot: &StoreRows) {
+        self.state().first_version.get_or_insert(snapshot.version);
         let vanished: Vec<EndpointId> = {
             let state = self.state();
             let live = state.rows.iter().filter(|(_, row)| row.value.is_some());
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -17,7 +17,7 @@
 use crate::edge::{StoreRow, StoreRows, StoreVersion, socket};
 use crate::process::active_fleet::ActiveFleet;
 use crate::process::coordinator::{CoordinatorEvent, PeerId};
-use crate::process::endpoint_list::EndpointList;
+use crate::process::endpoint_list::{EndpointList, ListUpdate};
 use crate::process::quotas::Quotas;
 use crate::process::scheduler::Scheduler;
 use crate::process::settings::EntrySettings;
@@ -290,15 +290,16 @@
             };
             self.active_fleet.offer(&row, "another VM");
         }
-        if !message.rows.is_empty() {
+        if !message.rows.is_empty() || message.whole {
             let rows = message.rows.iter().map(|row| StoreRow {
                 key: row.key.as_str().into(),
                 value: (!row.removed).then(|| row.value.clone().into()),
                 version: row.version,
             });
             let rows = rows.collect();
-            let rows = StoreRows { rows, version: message.listed, ..StoreRows::default() };
-            self.endpoint_list.on_relayed_rows(&rows);
+            let changes = StoreRows { rows, version: message.listed, ..StoreRows::default() };
+            let live = message.whole.then(|| message.live.iter().map(EndpointId::new).collect());
+            self.endpoint_list.on_relayed(&ListUpdate { changes, live });
         }
         if message.fence == 0 {
             return;
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -207,6 +207,13 @@
     /// On resignation: the endpoints with a longer wait than `rest`.
     #[prost(message, repeated, tag = "19")]
     pub waits: ::prost::alloc::vec::Vec<Wait>,
+    /// Whether `live` names all listed endpoints, because the receiver knows an older list than the
+    /// sender has read changes of.
+    #[prost(bool, tag = "20")]
+    pub whole: bool,
+    /// The names of all listed endpoints, if `whole` is set; others are no longer listed.
+    #[prost(string, repeated, tag = "21")]
+    pub live: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// How long the next leader must wait before it orders one endpoint.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
