--- a/crates/entry/src/edge/mod.rs
+++ b/crates/entry/src/edge/mod.rs
@@ -1,5 +1,6 @@
 //! The interfaces to a platform: the formats that it translates and the store that it provides.
 
+pub(crate) mod budget;
 pub(crate) mod clock;
 pub(crate) mod pool;
 pub(crate) mod socket;
@@ -259,8 +260,10 @@
 /// The whole events at the beginning of a stream's bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct EventSpan {
-    /// The total length of the whole events, in bytes.
+    /// The length up to the end of the last whole event that has an id, in bytes.
     pub bytes: usize,
+    /// The length up to the end of the last whole block, which may have no id, in bytes.
+    pub blocks: usize,
     /// The id of the last whole event that has an id; `None` if no event has one.
     pub last_id: Option<u64>,
 }
--- a/crates/entry/src/edge/pool.rs
+++ b/crates/entry/src/edge/pool.rs
@@ -11,18 +11,23 @@
 use bamboocourse_decide::FastMap;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::time::Instant;
 
-use crate::edge::socket;
+use crate::edge::budget::ByteBudget;
+use crate::edge::socket::{self, FirstByte};
 
 /// How long a connection is kept idle if the remote end does not say.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// How much earlier than the remote end an idle connection is closed.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// How long after its first byte the head of a response may take.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+/// The largest head of a response, and the most that is read ahead of a body, in bytes.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// The largest number of idle connections for one address.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 
@@ -52,12 +57,20 @@
 pub struct Pool {
     local: IpAddr,
     idle: Arc<Mutex<FastMap<SocketAddr, Vec<IdleConnection>>>>,
+    budget: ByteBudget,
+}
+
+/// An open connection that carries one request at a time.
+#[derive(Debug)]
+struct Connection {
+    sender: Sender,
+    first_byte: FirstByte,
 }
 
 /// A connection without a request, and until when it is kept.
 #[derive(Debug)]
 struct IdleConnection {
-    sender: Sender,
+    connection: Connection,
     until: Instant,
 }
 
@@ -66,22 +79,46 @@
 pub struct PooledConnection {
     pool: Pool,
     address: SocketAddr,
-    sender: Sender,
+    connection: Connection,
 }
 
 impl PooledConnection {
+    /// Reads the complete body of the response, of at most `limit` bytes.
+    ///
+    /// # Errors
+    /// Returns an error if the body is longer or the process has no memory left for it, or if the
+    /// connection closes within the body.
+    pub async fn read_body(&self, mut body: Incoming, limit: usize) -> Result<Bytes, ReadError> {
+        if body.size_hint().lower() > limit as u64 {
+            return Err(ReadError::TooLarge);
+        }
+        let mut reserved = self.pool.budget.reserve();
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return Err(ReadError::Broken) };
+            let Some(data) = frame.data_ref() else { continue };
+            let length = bytes.len() + data.len();
+            if length > limit || !reserved.cover(length) {
+                return Err(ReadError::TooLarge);
+            }
+            bytes.extend_from_slice(data);
+        }
+        Ok(bytes.freeze())
+    }
+
     /// Returns the connection to the pool; its response must have been read completely.
     ///
     /// `idle` is how long the remote end keeps the connection idle, if it says so.
     pub fn keep(self, idle: Option<Duration>) {
         let timeout = idle.unwrap_or(DEFAULT_IDLE_TIMEOUT).saturating_sub(IDLE_MARGIN);
-        if timeout.is_zero() || self.sender.is_closed() {
+        if timeout.is_zero() || self.connection.sender.is_closed() {
             return;
         }
         let mut idle_connections = self.pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle_connections.entry(self.address).or_default();
         if kept.len() < MAX_IDLE_CONNECTIONS {
-            kept.push(IdleConnection { sender: self.sender, until: Instant::now() + timeout });
+            let until = Instant::now() + timeout;
+            kept.push(IdleConnection { connection: self.connection, until });
         }
     }
 }
@@ -89,7 +126,12 @@
 impl Pool {
     /// Creates a pool whose connections come from a local address.
     pub fn new(local: IpAddr) -> Self {
-        Self { local, idle: Arc::default() }
+        Self { local, idle: Arc::default(), budget: ByteBudget::new() }
+    }
+
+    /// Returns the budget for the large messages that the process receives.
+    pub(crate) fn budget(&self) -> &ByteBudget {
+        &self.budget
     }
 
     /// Sends a request and returns the response, whose body is still to be read.
@@ -98,30 +140,25 @@
     /// byte of the request was written, another connection is used.
     ///
     /// # Errors
-    /// Returns an error if no connection can be opened, or if the connection fails before the head
-    /// of the response has arrived.
+    /// Returns an error if no connection can be opened, or if the connection fails or the head takes
+    /// too long or is too large before it has arrived.
     pub async fn send(
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
-        while let Some(mut sender) = self.take_idle(address) {
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, self.wrap(address, sender))),
-                Err(mut error) => match error.take_message() {
-                    Some(unsent) => request = unsent,
-                    None => return Err(SendError::Unknown(error.into_error().to_string())),
-                },
+        while let Some(mut connection) = self.take_idle(address) {
+            match connection.send(request).await {
+                Ok(response) => return Ok((response, self.wrap(address, connection))),
+                Err((_, Some(unsent))) => request = unsent,
+                Err((why, None)) => return Err(SendError::Unknown(why)),
             }
         }
-        let mut sender = self.connect(address).await?;
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok((response, self.wrap(address, sender))),
-            Err(mut error) => {
-                let unsent = error.take_message().is_some();
-                let why = error.into_error().to_string();
-                Err(if unsent { SendError::NotSent(why) } else { SendError::Unknown(why) })
-            }
+        let mut connection = self.connect(address).await?;
+        match connection.send(request).await {
+            Ok(response) => Ok((response, self.wrap(address, connection))),
+            Err((why, Some(_))) => Err(SendError::NotSent(why)),
+            Err((why, None)) => Err(SendError::Unknown(why)),
         }
     }
 
@@ -130,36 +167,61 @@
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|_, kept| {
-            kept.retain(|kept| now < kept.until && !kept.sender.is_closed());
+            kept.retain(|kept| now < kept.until && !kept.connection.sender.is_closed());
             !kept.is_empty()
         });
     }
 
-    fn wrap(&self, address: SocketAddr, sender: Sender) -> PooledConnection {
-        PooledConnection { pool: self.clone(), address, sender }
+    fn wrap(&self, address: SocketAddr, connection: Connection) -> PooledConnection {
+        PooledConnection { pool: self.clone(), address, connection }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Sender, SendError> {
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, SendError> {
+        let first_byte = FirstByte::default();
         let stream = socket::connect(self.local, address)
             .await
-            .and_then(socket::ResetOnClose::new)
+            .and_then(|stream| socket::ResetOnClose::new(stream, first_byte.clone()))
             .map_err(|error| SendError::NotSent(error.to_string()))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| SendError::NotSent(error.to_string()))?;
         // Errors of the connection reach the caller through the current request.
         tokio::spawn(connection);
-        Ok(sender)
+        Ok(Connection { sender, first_byte })
     }
 
     /// Takes an idle connection that is ready for a request, if there is one.
-    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle.get_mut(&address)?;
-        kept.retain(|kept| now < kept.until && !kept.sender.is_closed());
-        let ready = kept.iter().rposition(|kept| kept.sender.is_ready())?;
-        Some(kept.swap_remove(ready).sender)
+        kept.retain(|kept| now < kept.until && !kept.connection.sender.is_closed());
+        let ready = kept.iter().rposition(|kept| kept.connection.sender.is_ready())?;
+        Some(kept.swap_remove(ready).connection)
+    }
+}
+
+impl Connection {
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// Fails with the reason, and with the request if no byte of it was written.
+    async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, (String, Option<Request<Full<Bytes>>>)> {
+        self.first_byte.clear();
+        let sent = tokio::select! {
+            sent = self.sender.try_send_request(request) => sent,
+            () = self.first_byte.wait(HEAD_TIMEOUT) => {
+                return Err(("the head of the response does not end".to_owned(), None));
+            }
+        };
+        sent.map_err(|mut error| {
+            let unsent = error.take_message();
+            (error.into_error().to_string(), unsent)
+        })
     }
 }
 
@@ -171,20 +233,3 @@
     /// The connection was closed before the end of the body.
     Broken,
 }
-
-/// Reads a complete body of at most `limit` bytes.
-///
-/// # Errors
-/// Returns an error if the body is longer, or if the connection closes within the body.
-pub async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, ReadError> {
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else { return Err(ReadError::Broken) };
-        let Some(data) = frame.data_ref() else { continue };
-        if bytes.len() + data.len() > limit {
-            return Err(ReadError::TooLarge);
-        }
-        bytes.extend_from_slice(data);
-    }
-    Ok(bytes.freeze())
-}
--- a/crates/entry/src/edge/socket.rs
+++ b/crates/entry/src/edge/socket.rs
@@ -3,12 +3,15 @@
 use std::io::IoSlice;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// How long sent bytes may stay unacknowledged before the connection is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -33,18 +36,51 @@
     socket.set_tcp_keepalive(&probes)
 }
 
+/// Tells when the first byte of a response arrived; clones share it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct FirstByte(Arc<watch::Sender<Option<Instant>>>);
+
+impl FirstByte {
+    /// Forgets the byte of the last response.
+    pub(crate) fn clear(&self) {
+        self.0.send_replace(None);
+    }
+
+    /// Waits for the first byte and then for a time.
+    pub(crate) async fn wait(&self, time: Duration) {
+        let mut arrived = self.0.subscribe();
+        // The sender lives as long as `self`.
+        if let Ok(at) = arrived.wait_for(Option::is_some).await.map(|at| *at)
+            && let Some(at) = at
+        {
+            tokio::time::sleep_until(at + time).await;
+        }
+    }
+
+    fn record(&self) {
+        self.0.send_if_modified(|at| {
+            let is_first = at.is_none();
+            at.get_or_insert_with(Instant::now);
+            is_first
+        });
+    }
+}
+
 /// A connection that is reset when it is dropped, without an orderly shutdown.
 ///
 /// A reset discards the bytes that are still queued for a broken link, so that they cannot arrive
 /// after the link recovers.
 #[derive(Debug)]
-pub(crate) struct ResetOnClose(TcpStream);
+pub(crate) struct ResetOnClose {
+    stream: TcpStream,
+    first_byte: FirstByte,
+}
 
 impl ResetOnClose {
     /// Sets a connection to be reset when it is dropped.
-    pub(crate) fn new(stream: TcpStream) -> std::io::Result<Self> {
+    pub(crate) fn new(stream: TcpStream, first_byte: FirstByte) -> std::io::Result<Self> {
         stream.set_zero_linger()?;
-        Ok(Self(stream))
+        Ok(Self { stream, first_byte })
     }
 }
 
@@ -54,7 +90,13 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.get_mut().0).poll_read(context, buffer)
+        let this = self.get_mut();
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut this.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            this.first_byte.record();
+        }
+        polled
     }
 }
 
@@ -64,7 +106,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.get_mut().0).poll_write(context, bytes)
+        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
@@ -72,15 +114,15 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.get_mut().0).poll_write_vectored(context, slices)
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.is_write_vectored()
+        self.stream.is_write_vectored()
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.get_mut().0).poll_flush(context)
+        Pin::new(&mut self.get_mut().stream).poll_flush(context)
     }
 
     fn poll_shutdown(
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,7 +18,7 @@
 mod request;
 mod wire;
 
-pub use edge::pool::{Pool, PooledConnection, ReadError, SendError, read_body};
+pub use edge::pool::{Pool, PooledConnection, ReadError, SendError};
 pub use edge::{
     BoxFuture, CallerRequest, EndpointRequest, EventSpan, ListedEndpoint, OrderRequest, Protocol,
     ResponseHead, Store, StoreError, StoreRow, StoreRows, StoreVersion, Table, WriteOutcome,
--- a/crates/entry/src/process/coordinator/orders.rs
+++ b/crates/entry/src/process/coordinator/orders.rs
@@ -9,7 +9,7 @@
 use super::placement::IssuedOrder;
 use super::{Coordinator, CoordinatorEvent};
 use crate::edge::clock::boot_now;
-use crate::edge::pool::{Pool, SendError, read_body};
+use crate::edge::pool::{Pool, SendError};
 use crate::edge::{OrderRequest, Protocol};
 
 /// How long an endpoint may take to reply to an order or a report request.
@@ -42,18 +42,9 @@
             let reply = if boot_now() + MIN_ORDER_TERM >= until {
                 OrderReply::NotSent
             } else {
-                let sent = pool.send(address, protocol.write_order(&head));
-                match tokio::time::timeout(ENDPOINT_TIMEOUT, sent).await {
-                    Ok(Ok((response, connection))) => {
-                        let (head, body) = response.into_parts();
-                        if read_body(body, MAX_REPORT_BYTES).await.is_ok() {
-                            connection.keep(None);
-                        }
-                        protocol.read_order_reply(&head)
-                    }
-                    Ok(Err(SendError::NotSent(_))) => OrderReply::NotSent,
-                    Ok(Err(_)) | Err(_) => OrderReply::Lost,
-                }
+                let ordering = order_reply(&pool, &*protocol, address, &head);
+                let reply = tokio::time::timeout(ENDPOINT_TIMEOUT, ordering).await;
+                reply.unwrap_or(OrderReply::Lost)
             };
             if matches!((command, reply), (OrderCommand::Fetch(..), OrderReply::Accepted)) {
                 // The endpoint rejects requests for the adapter until it has loaded.
@@ -87,6 +78,27 @@
     }
 }
 
+/// Sends an order and reads the whole reply; one that does not end is no reply.
+async fn order_reply(
+    pool: &Pool,
+    protocol: &dyn Protocol,
+    address: SocketAddr,
+    order: &OrderRequest<'_>,
+) -> OrderReply {
+    match pool.send(address, protocol.write_order(order)).await {
+        Ok((response, connection)) => {
+            let (head, body) = response.into_parts();
+            if connection.read_body(body, MAX_REPORT_BYTES).await.is_err() {
+                return OrderReply::Lost;
+            }
+            connection.keep(None);
+            protocol.read_order_reply(&head)
+        }
+        Err(SendError::NotSent(_)) => OrderReply::NotSent,
+        Err(SendError::Unknown(_)) => OrderReply::Lost,
+    }
+}
+
 /// Requests an endpoint's report and reads it, within [`ENDPOINT_TIMEOUT`].
 async fn fetch_report(
     pool: &Pool,
@@ -99,7 +111,8 @@
         let (response, connection) =
             pool.send(address, request).await.map_err(|error| error.to_string())?;
         let status = response.status();
-        let body = read_body(response.into_body(), MAX_REPORT_BYTES)
+        let body = connection
+            .read_body(response.into_body(), MAX_REPORT_BYTES)
             .await
             .map_err(|error| format!("{error:?}"))?;
         connection.keep(None);
--- a/crates/entry/src/process/endpoint_list.rs
+++ b/crates/entry/src/process/endpoint_list.rs
@@ -152,6 +152,8 @@
                     Duration::MAX => Duration::ZERO,
                     from => from.saturating_sub(boot_now()),
                 };
+                info!(version = changes.version, known = state.version, listed = live.len(),
+                    unlisted = unlisted.len(); "the leader's whole list is applied");
                 (unlisted, wait)
             };
             for key in unlisted {
@@ -175,6 +177,10 @@
 
     /// Applies the whole list: endpoints without a row have vanished.
     pub(crate) fn on_snapshot(self: &Arc<Self>, snapshot: &StoreRows) {
+        if self.state().first_version.is_none() {
+            info!(version = snapshot.version, endpoints = snapshot.rows.len();
+                "the list of endpoints has been read");
+        }
         self.state().first_version.get_or_insert(snapshot.version);
         let vanished: Vec<EndpointId> = {
             let state = self.state();
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 use tokio_util::codec::Framed;
 
+use crate::edge::budget::ByteBudget;
 use crate::edge::clock::boot_now;
 use crate::edge::{StoreRow, StoreRows, StoreVersion, socket};
 use crate::process::active_fleet::ActiveFleet;
@@ -29,6 +30,8 @@
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(12);
 /// How long the leader may be silent before the connection to it is dropped.
 const LINK_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// How long a connected VM may send no whole report before its connection is closed.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(3);
 /// The pause before the next attempt after a connection failed.
 ///
 /// The pause is short because granted tokens cover less than a second of demand when a pool is
@@ -46,6 +49,7 @@
     pub(crate) scheduler: Arc<Scheduler>,
     pub(crate) quotas: Arc<Quotas>,
     pub(crate) events: mpsc::UnboundedSender<CoordinatorEvent>,
+    pub(crate) budget: ByteBudget,
     /// The leader's address; `None` if this VM leads or the leader is unknown.
     pub(crate) leader: watch::Receiver<Option<SocketAddr>>,
 }
@@ -84,13 +88,17 @@
 }
 
 /// Accepts connections of other VMs until the process ends.
-pub(crate) async fn accept(listener: TcpListener, events: mpsc::UnboundedSender<CoordinatorEvent>) {
+pub(crate) async fn accept(
+    listener: TcpListener,
+    events: mpsc::UnboundedSender<CoordinatorEvent>,
+    budget: ByteBudget,
+) {
     let ids = AtomicU64::new(1);
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
                 let id = ids.fetch_add(1, Ordering::Relaxed);
-                tokio::spawn(serve(stream, from, id, events.clone()));
+                tokio::spawn(serve(stream, from, id, events.clone(), budget.clone()));
             }
             Err(error) => {
                 warn!(error:%; "a VM's connection was not accepted");
@@ -106,6 +114,7 @@
     from: SocketAddr,
     id: PeerId,
     events: mpsc::UnboundedSender<CoordinatorEvent>,
+    budget: ByteBudget,
 ) {
     if let Err(error) = socket::set_options(&stream) {
         warn!(from:%, error:%; "a VM's connection cannot be used");
@@ -114,11 +123,13 @@
     let (sender, mut messages) = mpsc::unbounded_channel();
     // The receiver is gone only while the process shuts down.
     let _ = events.send(CoordinatorEvent::PeerConnected(id, sender));
-    let mut framed = Framed::new(stream, FrameCodec::default());
+    let mut framed = Framed::new(stream, FrameCodec::new(budget));
+    let mut heard = Instant::now();
     loop {
         tokio::select! {
             frame = framed.next() => match frame {
                 Some(Ok(Body::Status(status))) => {
+                    heard = Instant::now();
                     let _ = events.send(CoordinatorEvent::Status(id, status));
                 }
                 Some(Ok(Body::Lead(_))) | None => break,
@@ -127,6 +138,10 @@
                     break;
                 }
             },
+            () = tokio::time::sleep_until(heard + REPORT_TIMEOUT) => {
+                info!(from:%; "a VM sends no reports");
+                break;
+            }
             message = messages.recv() => match message {
                 Some(message) => {
                     if framed.send(Body::Lead(message)).await.is_err() {
@@ -194,7 +209,7 @@
             }
         };
         info!(leader:% = address; "this VM reports to the leader");
-        let mut framed = Framed::new(stream, FrameCodec::default());
+        let mut framed = Framed::new(stream, FrameCodec::new(self.budget.clone()));
         let mut timer = ReportTimer::new(self);
         let mut heard = Instant::now();
         // The version of the leader's config row; the maximum, so that no row is sent, until the
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -121,6 +121,7 @@
             scheduler: scheduler.clone(),
             quotas: quotas.clone(),
             events: events.clone(),
+            budget: pool.budget().clone(),
             leader: leader_receiver,
         };
         let callers =
@@ -135,7 +136,7 @@
         tasks.spawn(follow::follow(store.clone(), Sink::Config(active_fleet), metrics.clone()));
         tasks.spawn(follow::follow(store, Sink::Endpoints(endpoint_list), metrics));
         tasks.spawn(Coordinator::new(handles, life).run(event_receiver));
-        tasks.spawn(link::accept(peer, events.clone()));
+        tasks.spawn(link::accept(peer, events.clone(), pool.budget().clone()));
         tasks.spawn(link.run());
         tasks.spawn(run_upkeep(scheduler, pool));
         info!(vm = settings.vm.as_str(), domain = settings.domain.as_str(), life,
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -28,7 +28,7 @@
 use tokio::time::Instant;
 
 use crate::edge::clock::boot_now;
-use crate::edge::pool::{Pool, read_body};
+use crate::edge::pool::Pool;
 use crate::edge::{CallerRequest, Protocol, model_name};
 use crate::process::active_fleet::ActiveFleet;
 use crate::process::metrics::Metrics;
@@ -119,6 +119,12 @@
         }
     }
 
+    /// Returns whether the request may be sent again after one more send that may have run; `runs`
+    /// counts the earlier ones.
+    fn can_retry(&self, runs: u32) -> bool {
+        self.route.retry_policy.is_retryable() && runs + 1 < self.route.attempts
+    }
+
     /// Returns the time until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -267,10 +273,10 @@
             if matches!(result, SendResult::StillLoading(_)) {
                 needs.tried.pop();
             }
-            let can_retry = job.route.retry_policy.is_retryable() && runs + 1 < job.route.attempts;
+            let can_retry = job.can_retry(runs);
             match result {
                 SendResult::Response(response) => {
-                    match self.forward(&job, *response, can_retry, trace).await {
+                    match self.forward(&job, *response, runs, trace).await {
                         Ok(response) => return Ok(response),
                         Err(refusal) => {
                             runs += 1;
@@ -298,14 +304,14 @@
         }
     }
 
-    /// Forwards an endpoint's response.
+    /// Forwards an endpoint's response; `runs` counts the earlier sends that may have run.
     ///
     /// Fails if the response is incomplete, or is a server error and the request can be retried.
     async fn forward(
         self: &Arc<Self>,
         job: &Job,
         response: EndpointResponse,
-        can_retry: bool,
+        runs: u32,
         trace: &mut Trace,
     ) -> HandleResult {
         let status = response.head.status;
@@ -315,7 +321,9 @@
             return Ok(build_response(status, headers, relay.into_body()));
         }
         let EndpointResponse { head, body, connection, idle, mut slot } = response;
-        let reading = tokio::time::timeout_at(job.deadline, read_body(body, MAX_RESPONSE_BYTES));
+        let until = self.hang_deadline(job, runs);
+        let reading =
+            tokio::time::timeout_at(until, connection.read_body(body, MAX_RESPONSE_BYTES));
         let bytes = match reading.await {
             Ok(Ok(bytes)) => bytes,
             Ok(Err(error)) => {
@@ -334,7 +342,7 @@
         }
         if status.is_server_error() {
             slot.set_outcome(SendOutcome::Failed);
-            if can_retry {
+            if job.can_retry(runs) {
                 trace.note("endpoint failed");
                 let detail = format!("{} answered {status}", slot.name);
                 return Err(Refusal::unknown(ErrorKind::EndpointFailed, detail));
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -25,8 +25,8 @@
 const MAX_SILENT_GAPS: u32 = 5;
 /// The shortest silence after which an endpoint is given up.
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
-/// The longest event, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// The longest event, with all that comes before it without an id, in bytes.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// A stream that is being relayed.
 pub(super) struct Relay {
@@ -138,11 +138,12 @@
         let silence_timeout = MIN_SILENCE_TIMEOUT.max(self.job.route.event_gap * MAX_SILENT_GAPS);
         let can_resume =
             self.job.route.retry_policy.is_retryable() && self.runs < self.job.route.attempts;
+        // If no other endpoint may continue the stream, only the deadline ends the wait. Bytes that
+        // complete no event do not prolong it.
+        let silent_until = Instant::now() + silence_timeout;
+        let until =
+            if can_resume { silent_until.min(self.job.deadline) } else { self.job.deadline };
         loop {
-            // If no other endpoint may continue the stream, only the deadline ends the wait.
-            let silent_until = Instant::now() + silence_timeout;
-            let until =
-                if can_resume { silent_until.min(self.job.deadline) } else { self.job.deadline };
             let frame = match tokio::time::timeout_at(until, source.body.frame()).await {
                 Ok(frame) => frame,
                 Err(_) if until < self.job.deadline => return Chunk::Broken("endpoint silent"),
@@ -152,7 +153,13 @@
                 Some(Ok(frame)) => frame,
                 Some(Err(_)) => return Chunk::Broken("stream broken off"),
                 None if self.partial.is_empty() => return Chunk::End,
-                None => return Chunk::Broken("stream ended within an event"),
+                None => {
+                    let blocks = self.pipeline.protocol.read_events(&self.partial).blocks;
+                    if blocks < self.partial.len() {
+                        return Chunk::Broken("stream ended within an event");
+                    }
+                    return Chunk::Events(self.partial.split().freeze());
+                }
             };
             let Some(data) = frame.data_ref() else { continue };
             self.partial.extend_from_slice(data);
--- a/crates/entry/src/request/send.rs
+++ b/crates/entry/src/request/send.rs
@@ -11,7 +11,7 @@
 use super::trace::Trace;
 use super::{DEFAULT_RETRY_AFTER, Job, Pipeline, timeout_refusal};
 use crate::edge::EndpointRequest;
-use crate::edge::pool::{PooledConnection, SendError, read_body};
+use crate::edge::pool::{PooledConnection, SendError};
 use crate::process::scheduler::EndpointSlot;
 
 /// The largest body that is read from a response that says "not run", in bytes.
@@ -138,8 +138,11 @@
         }
         let idle = (!parsed.closes).then_some(parsed.idle_timeout);
         if parsed.not_run {
-            if let Ok(Ok(_)) =
-                tokio::time::timeout(REJECTION_TIMEOUT, read_body(body, MAX_REJECTION_BYTES)).await
+            if let Ok(Ok(_)) = tokio::time::timeout(
+                REJECTION_TIMEOUT,
+                connection.read_body(body, MAX_REJECTION_BYTES),
+            )
+            .await
                 && let Some(idle) = idle
             {
                 connection.keep(idle);
@@ -167,11 +170,12 @@
         SendResult::Response(Box::new(EndpointResponse { head, body, connection, idle, slot }))
     }
 
-    /// Returns until when to wait for a response before the request is sent to another endpoint.
+    /// Returns until when to wait for a response, or for its body, before the request is sent to
+    /// another endpoint.
     ///
     /// This is the request's deadline if the request cannot be sent again.
-    fn hang_deadline(&self, job: &Job, runs: u32) -> Instant {
-        if !job.route.retry_policy.is_retryable() || runs + 1 >= job.route.attempts {
+    pub(super) fn hang_deadline(&self, job: &Job, runs: u32) -> Instant {
+        if !job.can_retry(runs) {
             return job.deadline;
         }
         let timeout = (job.route.latency_target * HANG_TIMEOUT_TENTHS / 10).max(MIN_HANG_TIMEOUT);
--- a/crates/entry/src/wire/mod.rs
+++ b/crates/entry/src/wire/mod.rs
@@ -7,6 +7,8 @@
 use prost::Message;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
+use crate::edge::budget::{ByteBudget, Reservation};
+
 pub(crate) use fleet::frame::Body;
 pub(crate) use fleet::{
     AdapterUse, Ceiling, Demand, FloorSpend, Frame, Held, HeldModel, Lead, ListRow, Spend, Status,
@@ -14,18 +16,41 @@
 };
 
 /// The largest frame between VMs, in bytes; a configuration with many routes needs the most.
-const MAX_FRAME_BYTES: usize = 16 << 20;
+const MAX_FRAME_BYTES: usize = 2 << 20;
+/// The length of the field before each frame that holds the frame's length, in bytes.
+const LENGTH_BYTES: usize = 4;
 
 /// Length-delimited frames of protobuf messages.
+///
+/// A frame that is being received counts against the process's budget for large messages.
 #[derive(Debug)]
 pub(crate) struct FrameCodec {
     inner: LengthDelimitedCodec,
+    budget: ByteBudget,
+    /// The memory of the frame whose length has been received; `None` between frames.
+    receiving: Option<Reservation>,
 }
 
-impl Default for FrameCodec {
-    fn default() -> Self {
-        let inner = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
-        Self { inner }
+impl FrameCodec {
+    pub(crate) fn new(budget: ByteBudget) -> Self {
+        let inner = LengthDelimitedCodec::builder()
+            .length_field_length(LENGTH_BYTES)
+            .max_frame_length(MAX_FRAME_BYTES)
+            .new_codec();
+        Self { inner, budget, receiving: None }
+    }
+
+    /// Reserves the memory of the next frame once its length has been received.
+    fn reserve(&mut self, source: &BytesMut) -> std::io::Result<()> {
+        let Some(field) = source.first_chunk::<LENGTH_BYTES>() else { return Ok(()) };
+        if self.receiving.is_none() {
+            let mut reserved = self.budget.reserve();
+            if !reserved.cover(u32::from_be_bytes(*field) as usize) {
+                return Err(std::io::Error::other("no memory is left for a frame"));
+            }
+            self.receiving = Some(reserved);
+        }
+        Ok(())
     }
 }
 
@@ -34,7 +59,9 @@
     type Error = std::io::Error;
 
     fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Body>, Self::Error> {
+        self.reserve(source)?;
         let Some(bytes) = self.inner.decode(source)? else { return Ok(None) };
+        self.receiving = None;
         let frame = Frame::decode(bytes.freeze())?;
         frame.body.map(Some).ok_or_else(|| std::io::Error::other("frame without a body"))
     }
