Decide which VMs are relays: a roster by failure domain, without input or output

The leader appoints a few relays for each domain, the larger VMs first; the other VMs choose among them by rendezvous hashing. Not used yet.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -73,6 +73,7 @@
     EndpointReport, EndpointTracker, LATE_ORDER_TIMEOUT, MAX_REPORT_AGE, OrderCommand, OrderKey,
     OrderReply, ResidentModels,
 };
+pub use process::roster::{Relay, RelayAppointer, Roster};
 pub use process::sliding_window::SlidingWindow;
 pub use request::dispatch::{
     Dispatcher, EndpointInfo, ModelRef, QueueTicket, Requirements, SendOutcome, Shortage,
--- a/crates/decide/src/process/mod.rs
+++ b/crates/decide/src/process/mod.rs
@@ -4,4 +4,5 @@
 pub(crate) mod limits;
 pub(crate) mod members;
 pub(crate) mod placement;
+pub(crate) mod roster;
 pub(crate) mod sliding_window;
