--- a/crates/decide/src/process/allowance/spender.rs
+++ b/crates/decide/src/process/allowance/spender.rs
@@ -269,6 +269,11 @@
         self.floor_until = sent + FLOOR_TERM;
     }
 
+    /// Returns whether a leader's ceiling is in force.
+    pub fn has_ceiling(&self, now: Duration) -> bool {
+        now < self.ceiling_until
+    }
+
     /// Returns the tokens spent of the floor recently, by parts of the window, newest first.
     pub fn floor_parts(&self, now: Duration) -> Vec<Tokens> {
         self.floor_used.parts(self.limit.window / HISTORY_PARTS, HISTORY_PARTS, now)
--- a/crates/decide/src/process/roster.rs
+++ b/crates/decide/src/process/roster.rs
@@ -7,7 +7,8 @@
 //!
 //! The load pattern that this answers: all VMs of a large fleet start, or lose their relay, at the
 //! same moment. Each VM asks for a place by itself; the leader answers each with the same few names
-//! and appoints only as many relays as are missing, so shortage does not breed messages.
+//! and appoints only as many relays as are missing, so shortage does not breed messages. Where a
+//! domain lacks a relay for long, its VMs offer themselves one after the other.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -49,6 +50,8 @@
     pub version: u64,
     /// The relays, by name.
     pub relays: Vec<Relay>,
+    /// The number of relays that each domain should have, if it has as many VMs.
+    pub target: usize,
 }
 
 impl Roster {
@@ -61,6 +64,11 @@
         newer
     }
 
+    /// Returns whether a domain has fewer relays than it should have.
+    pub fn is_short(&self, domain: &str) -> bool {
+        self.relays.iter().filter(|relay| relay.domain == domain).count() < self.target
+    }
+
     /// Returns the relays that a VM may use, in the order in which it tries them.
     ///
     /// The order differs from VM to VM, so that the relays of a domain share its VMs.
@@ -72,7 +80,8 @@
     ///     domain: domain.into(),
     ///     peer: "127.0.0.1:7600".parse().expect("an address"),
     /// };
-    /// let roster = Roster { version: 1, relays: vec![relay("a", "d1"), relay("b", "d2")] };
+    /// let relays = vec![relay("a", "d1"), relay("b", "d2")];
+    /// let roster = Roster { version: 1, relays, target: 2 };
     /// let choices = roster.choices("d2", "c");
     /// assert_eq!(choices.iter().map(|relay| relay.vm.as_str()).collect::<Vec<_>>(), ["b"]);
     /// ```
@@ -203,6 +212,7 @@
             return;
         }
         self.changes += 1;
-        self.roster = Roster { version: (self.fence << 32) | self.changes, relays };
+        let version = (self.fence << 32) | self.changes;
+        self.roster = Roster { version, relays, target: self.target };
     }
 }
--- a/crates/entry/src/process/coordinator/lease.rs
+++ b/crates/entry/src/process/coordinator/lease.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    CommitOutcome, Fence, LeaseEvent, LeaseRow, Proposal, QuietPeriod, VmId,
+    CommitOutcome, FastMap, Fence, LeaseEvent, LeaseRow, Proposal, QuietPeriod, RelayAppointer,
+    VmId,
 };
 use bytes::Bytes;
 use log::{info, warn};
@@ -15,7 +16,8 @@
 use super::{Coordinator, CoordinatorEvent, LeadMessage, Leadership};
 use crate::edge::clock::boot_now;
 use crate::edge::{StoreError, StoreRow, StoreRows, Table, WriteOutcome};
-use crate::wire::Wait;
+use crate::process::roster::Position;
+use crate::wire::{Body, Role, Wait};
 
 /// How long a renewal of the lease lasts on the leader's clock.
 pub(super) const LEASE_TERM: Duration = Duration::from_millis(2_600);
@@ -25,6 +27,11 @@
 pub(super) const LEADER_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// How often the row is read while the leader is silent.
 pub(super) const READ_INTERVAL: Duration = Duration::from_millis(700);
+/// How long after the whole system's first start VMs that are no seeds wait for one of them to claim
+/// the lease.
+const FIRST_READ_DELAY: Duration = Duration::from_millis(700);
+/// The most that is added to [`READ_INTERVAL`] for a VM that is no relay.
+const LONE_READ_JITTER: Duration = Duration::from_secs(1);
 /// How much later a VM that did not restart recently reads the row after the leader resigned.
 pub(super) const CLAIM_DELAY: Duration = Duration::from_millis(300);
 /// How long after its start a VM counts as recently restarted: about as long as a rolling restart.
@@ -42,6 +49,28 @@
         !self.handles.settings.first_start && now < self.started + RECENT_RESTART
     }
 
+    /// Returns the time between two reads of the row while nobody tells of the leader.
+    ///
+    /// Only relays follow the lease closely; of the other VMs there may be hundreds.
+    pub(super) fn read_interval(&self) -> Duration {
+        match self.handles.roster.position() {
+            Position::Relay => READ_INTERVAL,
+            Position::Candidate | Position::Member if self.last_read.is_zero() => {
+                // At the whole system's first start, the seeds claim the lease.
+                let settings = &self.handles.settings;
+                let is_seed = settings.seeds.is_empty() || settings.seeds.contains(&settings.peer);
+                if settings.first_start && !is_seed {
+                    self.started + FIRST_READ_DELAY + self.handles.roster.jitter(FIRST_READ_DELAY)
+                } else {
+                    Duration::ZERO
+                }
+            }
+            Position::Candidate | Position::Member => {
+                READ_INTERVAL + self.handles.roster.jitter(LONE_READ_JITTER)
+            }
+        }
+    }
+
     /// Starts a read of the lease's row; the result arrives as an event.
     pub(super) fn read_lease(&mut self, now: Duration) {
         self.last_read = now;
@@ -104,6 +133,11 @@
         }
         if let Some((_, row)) = &read {
             self.restore_floors(row, now);
+            self.handles.roster.update(&row.roster);
+            let vm = self.handles.settings.vm.as_str();
+            if row.floors.contains_key(vm) && !self.handles.settings.first_start {
+                self.handles.roster.set_position(Position::Relay, "it holds a floor");
+            }
         }
         let other = read.as_ref().filter(|(_, row)| row.lease.holder != self.handles.settings.vm);
         let leader = other.filter(|(_, row)| !row.lease.holder.is_empty()).map(|(_, row)| row.peer);
@@ -160,6 +194,10 @@
             }),
         };
         let peer = self.handles.settings.peer;
+        let roster = match &self.leadership {
+            Some(leadership) => leadership.relays.roster().clone(),
+            None => former.map_or_else(Default::default, |row| row.roster.clone()),
+        };
         let orderer = match (&self.leadership, former) {
             // A claim keeps the former orderer, as this VM has not issued orders under its fence.
             (None, Some(former)) => (former.orderer.clone(), former.orders_from),
@@ -179,6 +217,7 @@
             past,
             orderer,
             orders_from,
+            roster,
         };
         let value = match row.encode(self.handles.settings.bounds.row_limit) {
             Ok(value) => Bytes::from(value),
@@ -290,6 +329,9 @@
             },
         };
         let took_over = former.as_ref().map(|_| now);
+        let roster = former.as_ref().map(|row| row.roster.clone()).unwrap_or_default();
+        let relays = RelayAppointer::new(fence, settings.domains, &roster, now);
+        self.handles.roster.set_position(Position::Relay, "it leads");
         let (noted, pools, floors, past) = former
             .map_or_else(Default::default, |row| (row.noted, row.pools, row.floors, row.past));
         let recorded_at = self.to_local_time(noted, now);
@@ -305,6 +347,8 @@
         let leadership = Leadership {
             fence,
             quiet_period,
+            relays,
+            members: FastMap::default(),
             token_pools: TokenPools::new(
                 settings.bounds,
                 pools,
@@ -344,14 +388,16 @@
         });
         let message = LeadMessage {
             fence: leadership.fence,
+            role: Role::Leader.into(),
             resigned: true,
             rest: handover.default_wait.as_millis() as u32,
             waits: waits.collect(),
             ..LeadMessage::default()
         };
-        for peer in self.peers.values() {
+        let relays = self.peers.values().filter(|peer| peer.is_relay());
+        for peer in relays {
             // If the connection has ended, PeerDisconnected removes the peer.
-            let _ = peer.sender.send(message.clone());
+            let _ = peer.sender.send(Body::Lead(message.clone()));
         }
     }
 
@@ -359,8 +405,8 @@
     pub(super) fn stop_leading(&mut self, why: &'static str) {
         let Some(leadership) = self.leadership.take() else { return };
         warn!(fence = leadership.fence, why; "this VM no longer holds the fleet's lease");
-        // Followers look for the new leader when their connection ends.
-        self.peers.retain(|id, _| *id == 0);
+        // Relays look for the new leader when their connection ends; members stay.
+        self.peers.retain(|id, peer| *id == 0 || !peer.is_relay());
         self.last_read = Duration::ZERO;
     }
 
@@ -378,6 +424,6 @@
             let lease = LeaseRow { holder: VmId::default(), ..proposal.row };
             self.propose(Proposal { revision: proposal.revision, row: lease }, boot_now());
         }
-        self.peers.retain(|id, _| *id == 0);
+        self.peers.retain(|id, peer| *id == 0 || !peer.is_relay());
     }
 }
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -6,6 +6,7 @@
 //! claims the lease once it has expired.
 
 mod lease;
+mod news;
 mod orders;
 mod placement;
 pub(crate) mod row;
@@ -16,8 +17,8 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    EndpointId, EndpointReport, FastMap, Fence, Handover, Incarnation, Lease, LeaseEvent,
-    LeaseTerms, OrderReply, QuietPeriod, VmId,
+    DomainId, EndpointId, EndpointReport, FastMap, Fence, Handover, Incarnation, Lease, LeaseEvent,
+    LeaseTerms, OrderReply, QuietPeriod, Relay, RelayAppointer, Roster, VmId,
 };
 use log::info;
 use tokio::sync::{mpsc, watch};
@@ -29,10 +30,13 @@
 use crate::process::endpoint_list::{EndpointList, ListUpdate};
 use crate::process::metrics::Metrics;
 use crate::process::quotas::Quotas;
+use crate::process::roster::RosterView;
+use crate::process::scheduler::Scheduler;
 use crate::process::settings::EntrySettings;
-use crate::wire::{Held, Lead as LeadMessage, ListRow, Status};
+use crate::wire::{Body, Held, Lead as LeadMessage, ListRow, Position, Role, Status};
 
 use self::lease::{CLAIM_DELAY, CLAIM_MARGIN, LEADER_TIMEOUT, LEASE_TERM, READ_INTERVAL};
+use self::news::{NewsLog, NewsNumber};
 use self::orders::MIN_ORDER_TERM;
 use self::placement::{EndpointPlacement, IssuedOrder};
 use self::row::LeaderRow;
@@ -44,8 +48,10 @@
 const URGENT_RENEW_INTERVAL: Duration = Duration::from_millis(250);
 /// How often the task checks its timers.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
-/// How often a VM is sent the state of all endpoints instead of the changes alone.
-const FULL_UPDATE_INTERVAL: Duration = Duration::from_secs(12);
+/// How long a relay's count of its members holds.
+const MEMBERS_TIMEOUT: Duration = Duration::from_secs(8);
+/// How long after a report that lacks a model or an adapter a member is told changes at once.
+const WAITING_TIME: Duration = Duration::from_secs(1);
 
 /// The number of a connection from another VM; 0 stands for this VM's own reports.
 pub(crate) type PeerId = u64;
@@ -55,9 +61,13 @@
     /// A VM sent its report.
     Status(PeerId, Status),
     /// A VM connected; messages to the VM go through the sender.
-    PeerConnected(PeerId, mpsc::UnboundedSender<LeadMessage>),
+    PeerConnected(PeerId, mpsc::UnboundedSender<Body>),
     /// A VM's connection ended.
     PeerDisconnected(PeerId),
+    /// The leader told this VM, a relay, what endpoints hold.
+    News(Vec<Held>),
+    /// A relay answered this VM's report.
+    RelayAlive,
     /// An endpoint's entry in the list of endpoints changed.
     EndpointChanged(EndpointId),
     /// The leader sent a message, with the version of the lease's row that it wrote last.
@@ -86,7 +96,9 @@
     pub(crate) pool: Pool,
     pub(crate) active_fleet: Arc<ActiveFleet>,
     pub(crate) endpoint_list: Arc<EndpointList>,
+    pub(crate) scheduler: Arc<Scheduler>,
     pub(crate) quotas: Arc<Quotas>,
+    pub(crate) roster: Arc<RosterView>,
     pub(crate) metrics: Arc<Metrics>,
     /// The address where the leader accepts VMs; `None` if this VM leads or the leader is unknown.
     pub(crate) leader: watch::Sender<Option<SocketAddr>>,
@@ -109,6 +121,8 @@
     store_busy: bool,
     leaving: bool,
     peers: FastMap<PeerId, Peer>,
+    /// What endpoints hold, as this VM decided or was told.
+    news: NewsLog,
     /// Present while this VM holds the lease.
     leadership: Option<Leadership>,
     /// The fence and handover of the last leader that resigned, and when its message arrived.
@@ -117,6 +131,12 @@
 }
 
 impl Leadership {
+    /// Returns how many VMs report to this one or to a relay that does.
+    fn active_vms(&mut self, now: Duration) -> u32 {
+        self.members.retain(|_, (at, _)| now < *at + MEMBERS_TIMEOUT);
+        self.members.values().map(|(_, members)| members + 1).sum::<u32>().max(1)
+    }
+
     /// Returns the time between two renewals.
     fn renew_interval(&self) -> Duration {
         if self.token_pools.wants_record() { URGENT_RENEW_INTERVAL } else { RENEW_INTERVAL }
@@ -125,15 +145,29 @@
 
 /// A connected VM.
 struct Peer {
-    sender: mpsc::UnboundedSender<LeadMessage>,
-    /// When the VM was last sent the state of all endpoints.
-    last_full: Duration,
+    sender: mpsc::UnboundedSender<Body>,
+    /// What the VM is to this one, by its last report; `None` before the first.
+    position: Option<Position>,
+    /// The last change of what endpoints hold that the VM was told.
+    told: NewsNumber,
+    /// Until when the VM is told changes at once, as its callers lack a model or an adapter.
+    waits_until: Duration,
+}
+
+impl Peer {
+    /// Returns whether the VM reports to this one as the leader.
+    fn is_relay(&self) -> bool {
+        self.position != Some(Position::Member)
+    }
 }
 
 /// The state that exists only while this VM holds the lease.
 struct Leadership {
     fence: Fence,
     quiet_period: QuietPeriod,
+    relays: RelayAppointer,
+    /// For each relay, when it last reported and how many VMs reported to it.
+    members: FastMap<VmId, (Duration, u32)>,
     token_pools: TokenPools,
     placement: EndpointPlacement,
     /// When the last write of the lease's row began.
@@ -160,6 +194,7 @@
             store_busy: false,
             leaving: false,
             peers: FastMap::default(),
+            news: NewsLog::default(),
             leadership: None,
             handover: None,
             started: boot_now(),
@@ -187,11 +222,21 @@
         match event {
             CoordinatorEvent::Status(peer, status) => self.on_status(peer, status, now),
             CoordinatorEvent::PeerConnected(peer, sender) => {
-                self.peers.insert(peer, Peer { sender, last_full: Duration::ZERO });
+                let waits_until = Duration::ZERO;
+                self.peers.insert(peer, Peer { sender, position: None, told: 0, waits_until });
             }
             CoordinatorEvent::PeerDisconnected(peer) => {
                 self.peers.remove(&peer);
             }
+            CoordinatorEvent::News(held) => {
+                if self.leadership.is_none() {
+                    for held in held {
+                        self.news.record(held, now);
+                    }
+                    self.tell_waiting_members(now);
+                }
+            }
+            CoordinatorEvent::RelayAlive => self.leader_heard = now,
             CoordinatorEvent::EndpointChanged(name) => self.on_endpoint_changed(&name, now),
             CoordinatorEvent::LeaderAlive(fence, version) => {
                 if self.row.as_ref().is_none_or(|(_, row)| fence >= row.lease.fence) {
@@ -243,9 +288,14 @@
     fn on_tick(&mut self) {
         let now = boot_now();
         self.lease.handle(LeaseEvent::Tick(now));
+        if let Some(leadership) = &mut self.leadership {
+            leadership.relays.refresh(now);
+            self.handles.roster.update(leadership.relays.roster());
+        }
         if self.lease.held(now).is_none() {
             self.stop_leading("the lease has lapsed");
         }
+        self.apply_config(now);
         self.request_reports(now);
         self.plan_orders(now);
         if self.store_busy {
@@ -257,7 +307,7 @@
             }
             Some(_) => {}
             None if now >= self.leader_heard + LEADER_TIMEOUT
-                && now >= self.last_read + READ_INTERVAL =>
+                && now >= self.last_read + self.read_interval() =>
             {
                 self.read_lease(now)
             }
@@ -289,14 +339,77 @@
             return;
         };
         let listed = self.handles.endpoint_list.endpoint(name);
+        if listed.is_none() {
+            self.news.remove(name);
+        }
         leadership.placement.on_listed(name, listed, &fleet, now);
         self.plan_orders(now);
     }
 
     /// Applies a VM's report and replies to it.
     ///
-    /// A follower replies with fence 0, which tells the VM to look for the leader elsewhere.
+    /// A VM that is not what the report asks for replies with the roster alone, so that the sender
+    /// looks elsewhere.
     fn on_status(&mut self, peer: PeerId, status: Status, now: Duration) {
+        let position = status.position();
+        if let Some(known) = self.peers.get_mut(&peer) {
+            known.position = Some(position);
+        }
+        let reply = match position {
+            Position::Member if self.serves_members() => self.answer_member(peer, &status, now),
+            Position::Candidate if self.leadership.is_some() => self.answer_candidate(&status, now),
+            Position::ReportingRelay => self.answer_relay(peer, &status, now),
+            Position::Member | Position::Candidate => LeadMessage::default(),
+        };
+        let roster = self.handles.roster.roster();
+        let roster = (status.roster < roster.version).then(|| roster_message(&roster));
+        self.send(peer, LeadMessage { roster, ..reply });
+        let missing = status.demand.iter().any(|item| item.waiting > 0)
+            || status.adapters.iter().any(|item| item.missing);
+        if missing && self.leadership.is_some() {
+            self.plan_orders(now);
+        }
+    }
+
+    /// Returns whether VMs of this domain may report to this one.
+    fn serves_members(&self) -> bool {
+        self.handles.roster.is_relay() && !self.leaving
+    }
+
+    /// Answers a VM that reports to this relay.
+    fn answer_member(&mut self, peer: PeerId, status: &Status, now: Duration) -> LeadMessage {
+        let lacks = self.handles.scheduler.on_member(status);
+        let mut reply = self.store_updates(status);
+        reply.role = Role::Relay.into();
+        reply.sent = status.sent;
+        reply.vms = self.handles.quotas.vms() as u32;
+        reply.funded = self.handles.quotas.can_grant();
+        reply.current = self.handles.endpoint_list.is_current();
+        if let Some(known) = self.peers.get_mut(&peer) {
+            if lacks {
+                known.waits_until = now + WAITING_TIME;
+            }
+            reply.held = self.news.after(known.told, now);
+            known.told = self.news.last();
+        }
+        reply
+    }
+
+    /// Answers a VM that looks for a relay; it may become one itself.
+    fn answer_candidate(&mut self, status: &Status, now: Duration) -> LeadMessage {
+        let Some(leadership) = &mut self.leadership else { return LeadMessage::default() };
+        let Some(relay) = reporting_vm(status) else { return LeadMessage::default() };
+        let appointed = leadership.relays.on_candidate(relay, status.capacity, now);
+        if appointed {
+            info!(vm = status.vm.as_str(), domain = status.domain.as_str(),
+                capacity = status.capacity; "a VM becomes a relay");
+        }
+        self.handles.roster.update(leadership.relays.roster());
+        LeadMessage { role: Role::Leader.into(), appointed, ..LeadMessage::default() }
+    }
+
+    /// Answers a relay, as the leader; a VM that does not lead replies with fence 0.
+    fn answer_relay(&mut self, peer: PeerId, status: &Status, now: Duration) -> LeadMessage {
         if !status.config_row.is_empty() {
             let row = StoreRow {
                 key: "config".into(),
@@ -306,37 +419,35 @@
             self.handles.active_fleet.offer(&row, "another VM");
         }
         self.apply_config(now);
-        let mut reply = self.store_updates(&status);
-        let Some(leadership) = &mut self.leadership else {
-            self.send(peer, reply);
-            return;
-        };
+        let mut reply = self.store_updates(status);
+        let Some(leadership) = &mut self.leadership else { return reply };
+        let vm = VmId::new(&status.vm);
+        if let Some(relay) = reporting_vm(status) {
+            leadership.relays.on_relay(relay, now);
+            self.handles.roster.update(leadership.relays.roster());
+        }
+        leadership.members.insert(vm.clone(), (now, status.members));
+        reply.role = Role::Leader.into();
         reply.fence = leadership.fence;
         reply.sent = status.sent;
         reply.clock = now.as_millis() as u64;
         reply.renewed = leadership.row_version;
         reply.funded = leadership.config_version > 0 && leadership.token_pools.can_grant();
-        reply.ceilings = leadership.token_pools.on_report(&status, now);
-        if let Some(former) = leadership.token_pools.on_floor_report(&status, now) {
+        reply.ceilings = leadership.token_pools.on_report(status, now);
+        if let Some(former) = leadership.token_pools.on_floor_report(status, now) {
             reply.past = former.spent;
             reply.past_whole = former.is_final;
             reply.past_age = former.age.as_millis() as u64;
         }
         reply.floor = leadership.token_pools.floor_weight(&status.vm);
-        reply.vms = leadership.token_pools.active_vms(now) as u32;
-        let vm = VmId::new(&status.vm);
+        reply.vms = leadership.active_vms(now);
         leadership.placement.on_unreachable(&status.unreached, now);
-        let missing = leadership.placement.on_demand(&vm, status.demand, &status.adapters, now);
-        if let Some(known) = self.peers.get_mut(&peer)
-            && now >= known.last_full + FULL_UPDATE_INTERVAL
-        {
-            known.last_full = now;
-            reply.held = leadership.placement.all_held(now);
-        }
-        self.send(peer, reply);
-        if missing {
-            self.plan_orders(now);
+        leadership.placement.on_demand(&vm, status.demand.clone(), &status.adapters, now);
+        if let Some(known) = self.peers.get_mut(&peer) {
+            reply.held = self.news.after(known.told, now);
+            known.told = self.news.last();
         }
+        reply
     }
 
     /// Returns a message with the configuration and the endpoint rows that a VM does not know yet.
@@ -367,21 +478,49 @@
     fn send(&self, peer: PeerId, message: LeadMessage) {
         if let Some(peer) = self.peers.get(&peer) {
             // If the connection has ended, PeerDisconnected removes the peer.
-            let _ = peer.sender.send(message);
+            let _ = peer.sender.send(Body::Lead(message));
         }
     }
 
-    /// Sends all VMs the state of the endpoints that have changed.
+    /// Tells all relays, and the members that wait for it, what has changed at endpoints.
     fn broadcast_changes(&mut self) {
+        let now = boot_now();
         let Some(leadership) = &mut self.leadership else { return };
-        let changes: Vec<Held> = leadership.placement.take_changes(boot_now());
-        if changes.is_empty() {
+        let fence = leadership.fence;
+        let mut changed = false;
+        for held in leadership.placement.take_changes(now) {
+            changed |= self.news.record(held, now);
+        }
+        if !changed {
             return;
         }
-        let message = LeadMessage { fence: leadership.fence, held: changes, ..Default::default() };
-        for peer in self.peers.values() {
+        for peer in self.peers.values_mut() {
+            // A relay that has not reported yet is told all with the reply to its first report.
+            if peer.position == Some(Position::ReportingRelay) && peer.told > 0 {
+                let held = self.news.after(peer.told, now);
+                peer.told = self.news.last();
+                let role = Role::Leader.into();
+                let message = LeadMessage { fence, role, held, ..LeadMessage::default() };
+                // If the connection has ended, PeerDisconnected removes the peer.
+                let _ = peer.sender.send(Body::Lead(message));
+            }
+        }
+        self.tell_waiting_members(now);
+    }
+
+    /// Tells the members whose callers lack a model or an adapter what has changed at endpoints; the
+    /// others learn of it with the reply to their next report.
+    fn tell_waiting_members(&mut self, now: Duration) {
+        for peer in self.peers.values_mut() {
+            let waits = peer.position == Some(Position::Member) && now < peer.waits_until;
+            if !waits || peer.told == self.news.last() {
+                continue;
+            }
+            let held = self.news.after(peer.told, now);
+            peer.told = self.news.last();
+            let role = Role::Relay.into();
             // If the connection has ended, PeerDisconnected removes the peer.
-            let _ = peer.sender.send(message.clone());
+            let _ = peer.sender.send(Body::Lead(LeadMessage { role, held, ..Default::default() }));
         }
     }
 
@@ -406,3 +545,21 @@
         }
     }
 }
+
+/// Returns the VM that sent a report, as a relay; `None` if the report does not say where it accepts
+/// other VMs.
+fn reporting_vm(status: &Status) -> Option<Relay> {
+    let peer = status.peer.parse().ok()?;
+    Some(Relay { vm: VmId::new(&status.vm), domain: DomainId::new(&status.domain), peer })
+}
+
+/// Returns the message of a roster.
+fn roster_message(roster: &Roster) -> crate::wire::Roster {
+    let relays = roster.relays.iter().map(|relay| crate::wire::Relay {
+        vm: relay.vm.to_string(),
+        domain: relay.domain.to_string(),
+        peer: relay.peer.to_string(),
+    });
+    let (version, target) = (roster.version, roster.target as u32);
+    crate::wire::Roster { version, relays: relays.collect(), target }
+}
--- a/crates/entry/src/process/coordinator/placement.rs
+++ b/crates/entry/src/process/coordinator/placement.rs
@@ -84,23 +84,20 @@
         }
     }
 
-    /// Records a VM's demand; returns whether requests wait or an adapter is missing.
+    /// Records the demand that a relay reported.
     pub(crate) fn on_demand(
         &mut self,
         vm: &VmId,
         demand: Vec<Demand>,
         adapters: &[AdapterUse],
         now: Duration,
-    ) -> bool {
-        let mut missing = demand.iter().any(|item| item.waiting > 0);
+    ) {
         for item in adapters {
             let service = ServiceId::new(&item.service);
             let Some((planner, _)) = self.planners.get_mut(&service) else { continue };
             planner.on_adapter((&item.model).into(), (&item.adapter).into(), item.missing, now);
-            missing |= item.missing;
         }
         self.demand.insert(vm.clone(), (now, demand));
-        missing
     }
 
     /// Records which endpoints a VM could not reach.
@@ -226,11 +223,6 @@
         names.iter().filter_map(|name| self.held(name, now)).collect()
     }
 
-    /// Returns the state of all endpoints.
-    pub(crate) fn all_held(&self, now: Duration) -> Vec<Held> {
-        self.trackers.keys().filter_map(|name| self.held(name, now)).collect()
-    }
-
     /// Returns an endpoint's entry in the list, if the endpoint is known.
     pub(crate) fn endpoint(&self, name: &EndpointId) -> Option<&ListedEndpoint> {
         self.trackers.get(name).map(|(_, listed)| listed)
--- a/crates/entry/src/process/coordinator/row.rs
+++ b/crates/entry/src/process/coordinator/row.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use bamboocourse_decide::{
-    FloorHistory, LeaseRow, PoolRecord, Tokens, UnreportedSpend, VmId, WorkspaceId,
+    FloorHistory, LeaseRow, PoolRecord, Roster, Tokens, UnreportedSpend, VmId, WorkspaceId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -31,6 +31,8 @@
     pub past: BTreeMap<VmId, FloorHistory>,
     /// Each VM's share of all floors, in millionths.
     pub floors: BTreeMap<VmId, u64>,
+    /// The relays, for VMs that start.
+    pub roster: Roster,
 }
 
 /// The row's JSON form: VMs are numbered, so that each name is stored only once.
@@ -45,6 +47,8 @@
     pools: BTreeMap<WorkspaceId, PackedPool>,
     past: Vec<(usize, FloorHistory)>,
     floors: Vec<(usize, u64)>,
+    #[serde(default)]
+    roster: Roster,
 }
 
 /// A pool's JSON form; the first number of each entry is an index into [`Packed::vms`].
@@ -93,6 +97,7 @@
     ///     orders_from: 0,
     ///     past: Default::default(),
     ///     floors: Default::default(),
+    ///     roster: Default::default(),
     /// };
     /// let bytes = row.encode(65_536).expect("the row fits");
     /// assert_eq!(LeaderRow::decode(&bytes), Ok(row));
@@ -139,7 +144,8 @@
         let past = past.collect::<Result<_, String>>()?;
         let floors = packed.floors.into_iter().map(|(vm, weight)| Ok((name(vm)?, weight)));
         let floors = floors.collect::<Result<_, String>>()?;
-        Ok(Self { lease, peer, noted, pools, orderer, orders_from, past, floors })
+        let roster = packed.roster;
+        Ok(Self { lease, peer, noted, pools, orderer, orders_from, past, floors, roster })
     }
 
     /// Returns the row's JSON, whatever its length.
@@ -169,6 +175,7 @@
             pools,
             past,
             floors,
+            roster: self.roster.clone(),
         };
         serde_json::to_vec(&packed).map_err(|error| error.to_string())
     }
--- a/crates/entry/src/process/coordinator/tokens.rs
+++ b/crates/entry/src/process/coordinator/tokens.rs
@@ -218,9 +218,4 @@
     pub(crate) fn floor_weight(&self, vm: &str) -> u64 {
         self.floors.weight(vm)
     }
-
-    /// Returns how many VMs have reported within the quota window.
-    pub(crate) fn active_vms(&self, now: Duration) -> usize {
-        self.floors.active_vms(self.bounds.quota_window, now)
-    }
 }
--- a/crates/entry/src/process/endpoint_list.rs
+++ b/crates/entry/src/process/endpoint_list.rs
@@ -109,6 +109,14 @@
         boot_now() < self.state().relayed_until
     }
 
+    /// Returns whether what this VM knows is as new as the store's changes that reach VMs: the leader
+    /// relays them, or the store can be followed.
+    pub(crate) fn is_current(&self) -> bool {
+        let state = self.state();
+        boot_now() < state.relayed_until
+            || (state.removals_from != Duration::MAX && state.first_version.is_some())
+    }
+
     /// Records that the store could not be reached.
     pub(crate) fn on_outage(&self) {
         self.state().removals_from = Duration::MAX;
@@ -143,7 +151,8 @@
         }
         if let Some(live) = live {
             let (unlisted, wait) = {
-                let state = self.state();
+                let mut state = self.state();
+                state.first_version.get_or_insert(changes.version);
                 let known = state.endpoints.keys();
                 let unlisted: Vec<_> =
                     known.filter(|name| !live.contains(*name)).cloned().collect();
--- a/crates/entry/src/process/follow.rs
+++ b/crates/entry/src/process/follow.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use log::{info, warn};
+use tokio::time::Instant;
 
 use crate::edge::{Store, StoreError, StoreRows, StoreVersion, Table};
 use crate::process::active_fleet::ActiveFleet;
 use crate::process::endpoint_list::EndpointList;
 use crate::process::metrics::Metrics;
+use crate::process::roster::RosterView;
 
 /// How long one call to the store waits for changes; each call has a cost, so the wait is long.
 const FEED_TIMEOUT: Duration = Duration::from_secs(25);
@@ -16,6 +18,8 @@
 const FEED_DELAY: Duration = Duration::from_millis(250);
 /// How often a VM checks whether the leader still relays changes.
 const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// How long a VM that starts waits for a relay before it reads a table itself.
+const START_DELAY: Duration = Duration::from_millis(1_500);
 /// The delay after a failed call; it doubles with each further failure.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// The longest delay after a failed call.
@@ -51,20 +55,20 @@
         }
     }
 
-    /// Returns whether this VM relies on the leader for the table's changes.
-    fn is_relayed(&self) -> bool {
+    /// Returns whether this VM relies on another one for the table's changes.
+    fn is_relayed(&self, roster: &RosterView) -> bool {
         match self {
-            // The configuration is large and rarely changes: following the store is cheaper than
-            // relaying it between VMs.
-            Sink::Config(_) => false,
-            Sink::Endpoints(list) => list.is_relayed(),
+            // The configuration is large and rarely changes: for a relay, following the store is
+            // cheaper than a message from another domain.
+            Sink::Config(_) => roster.is_relayed(),
+            Sink::Endpoints(list) => list.is_relayed() || roster.is_relayed(),
         }
     }
 
     /// Returns the version up to which relayed changes cover the table; 0 if none are relayed.
     fn version(&self) -> StoreVersion {
         match self {
-            Sink::Config(_) => 0,
+            Sink::Config(active_fleet) => active_fleet.row_version(),
             Sink::Endpoints(list) => list.version(),
         }
     }
@@ -83,13 +87,23 @@
 }
 
 /// Follows a table for as long as the process lives.
-pub(crate) async fn follow(store: Arc<dyn Store>, sink: Sink, metrics: Arc<Metrics>) {
+///
+/// A VM that is no relay follows it only while no relay tells what is new.
+pub(crate) async fn follow(
+    store: Arc<dyn Store>,
+    sink: Sink,
+    roster: Arc<RosterView>,
+    metrics: Arc<Metrics>,
+) {
     let table = sink.table();
     let mut after: Option<StoreVersion> = None;
+    wait_for_relay(&sink, &roster).await;
     let mut delay = RETRY_DELAY;
     let mut reachable = true;
     loop {
-        if after.is_some() && sink.is_relayed() {
+        if sink.version() > 0 && sink.is_relayed(&roster) {
+            // What was relayed is known; the next read continues from there.
+            after = after.or(Some(0));
             tokio::time::sleep(RELAY_CHECK_INTERVAL).await;
             continue;
         }
@@ -123,9 +137,22 @@
                     reachable = false;
                 }
                 sink.on_outage();
-                tokio::time::sleep(delay).await;
+                let wait = if roster.is_relay() { delay } else { delay + roster.jitter(delay * 3) };
+                tokio::time::sleep(wait).await;
                 delay = (delay * 2).min(MAX_RETRY_DELAY);
             }
         }
     }
 }
+
+/// Waits until this VM is a relay, or until a relay has told of the table, but no longer than
+/// [`START_DELAY`] and a jitter.
+async fn wait_for_relay(sink: &Sink, roster: &RosterView) {
+    let end = Instant::now() + START_DELAY + roster.jitter(START_DELAY);
+    let mut moved = roster.subscribe();
+    while !roster.is_relay() && sink.version() == 0 && Instant::now() < end {
+        let check = (Instant::now() + RELAY_CHECK_INTERVAL).min(end);
+        // The sender lives as long as the roster.
+        let _ = tokio::time::timeout_at(check, moved.changed()).await;
+    }
+}
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -1,11 +1,12 @@
-//! Connections between VMs: every VM reports to the leader, which replies to each report.
+//! Connections between VMs: relays report to the leader, the other VMs to a relay of their domain.
+//! Each report gets a reply.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use bamboocourse_decide::{EndpointId, Handover, Incarnation};
+use bamboocourse_decide::{EndpointId, Handover, Incarnation, Relay, Roster, VmId};
 use futures_util::{SinkExt, StreamExt};
 use log::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
@@ -17,22 +18,28 @@
 use crate::edge::clock::boot_now;
 use crate::edge::{StoreRow, StoreRows, StoreVersion, socket};
 use crate::process::active_fleet::ActiveFleet;
+use crate::process::asks::{Asks, grant_message};
 use crate::process::coordinator::{CoordinatorEvent, PeerId};
 use crate::process::endpoint_list::{EndpointList, ListUpdate};
+use crate::process::metrics::Metrics;
 use crate::process::quotas::Quotas;
+use crate::process::roster::{Position, RosterView};
 use crate::process::scheduler::Scheduler;
 use crate::process::settings::EntrySettings;
-use crate::wire::{Body, FrameCodec, Lead, Status};
+use crate::wire::{self, Ask, Body, FrameCodec, Lead, Role, Status};
 
-/// How often a VM reports to the leader.
+/// How often a VM reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// The shortest time between reports during a shortage, so that one report covers many requests.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(12);
-/// How long the leader may be silent before the connection to it is dropped.
+/// What each VM that reports to this one adds to [`MIN_REPORT_INTERVAL`], so that the leader gets
+/// no more reports in a shortage of a large fleet.
+const MEMBER_REPORT_INTERVAL: Duration = Duration::from_millis(1);
+/// How long the other end may be silent before the connection to it is dropped.
 const LINK_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// How long a connected VM may send no whole report before its connection is closed.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(3);
-/// The pause before the next attempt after a connection failed.
+/// The pause before the next attempt after a connection to the leader failed.
 ///
 /// The pause is short because granted tokens cover less than a second of demand when a pool is
 /// scarce, and because a VM may take the lease right after it replied that it does not hold the
@@ -40,7 +47,6 @@
 const RECONNECT_DELAY: Duration = Duration::from_millis(250);
 
 /// The parts of a VM that its reports are made from and that take in the leader's messages.
-#[derive(Clone)]
 pub(crate) struct LeaderLink {
     pub(crate) settings: Arc<EntrySettings>,
     pub(crate) life: Incarnation,
@@ -50,6 +56,8 @@
     pub(crate) quotas: Arc<Quotas>,
     pub(crate) events: mpsc::UnboundedSender<CoordinatorEvent>,
     pub(crate) budget: ByteBudget,
+    pub(crate) roster: Arc<RosterView>,
+    pub(crate) asks: Asks,
     /// The leader's address; `None` if this VM leads or the leader is unknown.
     pub(crate) leader: watch::Receiver<Option<SocketAddr>>,
 }
@@ -79,7 +87,9 @@
             }
             // Further shortages within this time go into the same report.
             self.urgent = true;
-            self.due = self.due.min(Instant::now() + MIN_REPORT_INTERVAL);
+            let members = self.scheduler.members() as u32;
+            let interval = MIN_REPORT_INTERVAL + MEMBER_REPORT_INTERVAL * members;
+            self.due = self.due.min(Instant::now() + interval);
         }
         tokio::time::sleep_until(self.due).await;
         self.urgent = false;
@@ -87,18 +97,22 @@
     }
 }
 
+/// What connections of other VMs need of this VM.
+#[derive(Clone)]
+pub(crate) struct Doors {
+    pub(crate) events: mpsc::UnboundedSender<CoordinatorEvent>,
+    pub(crate) quotas: Arc<Quotas>,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
 /// Accepts connections of other VMs until the process ends.
-pub(crate) async fn accept(
-    listener: TcpListener,
-    events: mpsc::UnboundedSender<CoordinatorEvent>,
-    budget: ByteBudget,
-) {
+pub(crate) async fn accept(listener: TcpListener, doors: Doors, budget: ByteBudget) {
     let ids = AtomicU64::new(1);
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
                 let id = ids.fetch_add(1, Ordering::Relaxed);
-                tokio::spawn(serve(stream, from, id, events.clone(), budget.clone()));
+                tokio::spawn(serve(stream, from, id, doors.clone(), budget.clone()));
             }
             Err(error) => {
                 warn!(error:%; "a VM's connection was not accepted");
@@ -108,21 +122,17 @@
     }
 }
 
-/// Passes a VM's reports to the coordinator and the coordinator's messages to the VM.
-async fn serve(
-    stream: TcpStream,
-    from: SocketAddr,
-    id: PeerId,
-    events: mpsc::UnboundedSender<CoordinatorEvent>,
-    budget: ByteBudget,
-) {
+/// Passes a VM's reports to the coordinator and the coordinator's messages to the VM, and answers
+/// what the VM asks of a relay.
+async fn serve(stream: TcpStream, from: SocketAddr, id: PeerId, doors: Doors, budget: ByteBudget) {
     if let Err(error) = socket::set_options(&stream) {
         warn!(from:%, error:%; "a VM's connection cannot be used");
         return;
     }
     let (sender, mut messages) = mpsc::unbounded_channel();
+    let answers = sender.downgrade();
     // The receiver is gone only while the process shuts down.
-    let _ = events.send(CoordinatorEvent::PeerConnected(id, sender));
+    let _ = doors.events.send(CoordinatorEvent::PeerConnected(id, sender));
     let mut framed = Framed::new(stream, FrameCodec::new(budget));
     let mut heard = Instant::now();
     loop {
@@ -130,9 +140,17 @@
             frame = framed.next() => match frame {
                 Some(Ok(Body::Status(status))) => {
                     heard = Instant::now();
-                    let _ = events.send(CoordinatorEvent::Status(id, status));
+                    let _ = doors.events.send(CoordinatorEvent::Status(id, status));
                 }
-                Some(Ok(Body::Lead(_))) | None => break,
+                Some(Ok(Body::Ask(ask))) => {
+                    if let Some(sender) = answers.upgrade() {
+                        answer_ask(ask, sender, &doors);
+                    }
+                }
+                Some(Ok(Body::Refund(refund))) => {
+                    doors.quotas.refund_own(&refund.workspace, refund.pool);
+                }
+                Some(Ok(Body::Lead(_) | Body::Grant(_))) | None => break,
                 Some(Err(error)) => {
                     info!(from:%, error:%; "a VM's connection has failed");
                     break;
@@ -144,7 +162,7 @@
             }
             message = messages.recv() => match message {
                 Some(message) => {
-                    if framed.send(Body::Lead(message)).await.is_err() {
+                    if framed.send(message).await.is_err() {
                         break;
                     }
                 }
@@ -152,32 +170,122 @@
             },
         }
     }
-    let _ = events.send(CoordinatorEvent::PeerDisconnected(id));
+    let _ = doors.events.send(CoordinatorEvent::PeerDisconnected(id));
+}
+
+/// Answers a member's ask, at once if the tokens are there.
+fn answer_ask(ask: Ask, sender: mpsc::UnboundedSender<Body>, doors: &Doors) {
+    doors.metrics.asks.add(1, &[]);
+    let quotas = doors.quotas.clone();
+    tokio::spawn(async move {
+        let timeout = Duration::from_millis(u64::from(ask.timeout));
+        let result = quotas.admit_for_member(&ask.workspace, ask.tokens, timeout).await;
+        // The receiver is gone if the connection has ended.
+        let _ = sender.send(grant_message(ask.id, result));
+    });
+}
+
+/// Where a VM reports next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Target {
+    /// To its own coordinator: it leads, or knows no other VM.
+    Own,
+    /// To another VM, as a relay, a member or a candidate.
+    Other(SocketAddr, Position),
+}
+
+/// How a connection to another VM ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LinkEnd {
+    /// The VM was never what this VM needs.
+    Refused,
+    /// The VM was, until the connection ended.
+    Lost,
+    /// This VM's own position has changed.
+    Moved,
+    /// This VM offers itself as a relay.
+    Offers,
 }
 
 impl LeaderLink {
-    /// Reports to the leader, which may be this VM, until the process ends.
+    /// Reports until the process ends, and looks for another VM to report to when one is lost.
     pub(crate) async fn run(mut self) {
         let (sender, mut messages) = mpsc::unbounded_channel();
         let _ = self.events.send(CoordinatorEvent::PeerConnected(0, sender));
+        // The relays and seeds that did not answer since the last one that did.
+        let mut tried: Vec<SocketAddr> = Vec::new();
         loop {
-            let leader = *self.leader.borrow_and_update();
-            match leader {
-                None => self.report_own(&mut messages).await,
-                Some(address) => {
-                    self.report_to(address).await;
+            match self.next_target(&mut tried) {
+                Target::Own => self.report_own(&mut messages).await,
+                Target::Other(address, position) => {
+                    let end = self.report_to(address, position).await;
+                    match end {
+                        LinkEnd::Moved | LinkEnd::Offers => {
+                            tried.clear();
+                            continue;
+                        }
+                        LinkEnd::Lost => tried.clear(),
+                        LinkEnd::Refused => {}
+                    }
+                    tried.push(address);
+                    if position == Position::Member || (end == LinkEnd::Lost && self.has_relay()) {
+                        continue;
+                    }
                     let _ = self.events.send(CoordinatorEvent::LeaderLost);
                     // The lease's row soon names the new leader; if the leader stays the same, the
                     // connection is tried again.
-                    let _ = tokio::time::timeout(RECONNECT_DELAY, self.leader.changed()).await;
+                    let pause = match position {
+                        Position::Relay => RECONNECT_DELAY,
+                        Position::Candidate | Position::Member => {
+                            RECONNECT_DELAY / 2 + self.roster.jitter(RECONNECT_DELAY)
+                        }
+                    };
+                    let _ = tokio::time::timeout(pause, self.leader.changed()).await;
                 }
             }
         }
     }
 
-    /// Reports to this VM's own coordinator until another VM is known to lead.
-    async fn report_own(&mut self, messages: &mut mpsc::UnboundedReceiver<Lead>) {
+    /// Returns where this VM reports next. `tried` holds the addresses that did not answer.
+    fn next_target(&mut self, tried: &mut Vec<SocketAddr>) -> Target {
+        let leader = *self.leader.borrow_and_update();
+        if self.roster.is_relay() {
+            return leader.map_or(Target::Own, |leader| Target::Other(leader, Position::Relay));
+        }
+        let relays = self.roster.choices();
+        if let Some(leader) = leader
+            && self.roster.is_short()
+            && !tried.contains(&leader)
+        {
+            return Target::Other(leader, Position::Candidate);
+        }
+        let next = relays.iter().find(|relay| !tried.contains(&relay.peer));
+        if let Some(relay) = next {
+            return Target::Other(relay.peer, Position::Member);
+        }
+        tried.retain(|address| !relays.iter().any(|relay| relay.peer == *address));
+        if let Some(leader) = leader {
+            return Target::Other(leader, Position::Candidate);
+        }
+        let seeds = self.roster.seeds();
+        match seeds.iter().find(|seed| !tried.contains(seed)) {
+            Some(seed) => Target::Other(*seed, Position::Candidate),
+            None => {
+                tried.clear();
+                Target::Own
+            }
+        }
+    }
+
+    /// Returns whether this VM's domain has another VM that is a relay.
+    fn has_relay(&self) -> bool {
+        !self.roster.choices().is_empty()
+    }
+
+    /// Reports to this VM's own coordinator until another VM is known to report to.
+    async fn report_own(&mut self, messages: &mut mpsc::UnboundedReceiver<Body>) {
         let mut timer = ReportTimer::new(self);
+        let mut moved = self.roster.subscribe();
         loop {
             tokio::select! {
                 changed = self.leader.changed() => {
@@ -185,33 +293,50 @@
                         return;
                     }
                 }
+                _ = moved.changed(), if !self.roster.is_relay() => {
+                    if self.has_relay() {
+                        return;
+                    }
+                }
                 () = timer.wait() => {}
                 message = messages.recv() => {
-                    if let Some(message) = message {
+                    if let Some(Body::Lead(message)) = message {
                         self.apply(&message);
                     }
                     continue;
                 }
             }
-            let mut status = self.status(StoreVersion::MAX, true);
+            let position = match self.roster.position() {
+                Position::Relay => Position::Relay,
+                Position::Candidate | Position::Member => Position::Candidate,
+            };
+            let mut status = self.status(StoreVersion::MAX, position, true);
             status.heard = status.sent;
             let _ = self.events.send(CoordinatorEvent::Status(0, status));
+            if position == Position::Candidate {
+                // Without another VM, the seeds and the lease's row are tried again.
+                let pause = RECONNECT_DELAY + self.roster.jitter(RECONNECT_DELAY);
+                let _ = tokio::time::timeout(pause, moved.changed()).await;
+                return;
+            }
         }
     }
 
-    /// Reports to another VM until it falls silent, does not lead, or another leader is known.
-    async fn report_to(&mut self, address: SocketAddr) {
+    /// Reports to another VM until it falls silent or is not what this VM needs.
+    async fn report_to(&mut self, address: SocketAddr, position: Position) -> LinkEnd {
         let stream = match socket::connect(self.settings.local, address).await {
             Ok(stream) => stream,
             Err(error) => {
-                info!(leader:% = address, error:%; "the leader cannot be reached");
-                return;
+                info!(vm:% = address, position:?, error:%; "a VM to report to cannot be reached");
+                return LinkEnd::Refused;
             }
         };
-        info!(leader:% = address; "this VM reports to the leader");
+        info!(vm:% = address, position:?; "this VM reports to another one");
         let mut framed = Framed::new(stream, FrameCodec::new(self.budget.clone()));
         let mut timer = ReportTimer::new(self);
+        let mut moved = self.roster.subscribe();
         let mut heard = Instant::now();
+        let mut end = LinkEnd::Refused;
         // The version of the leader's config row; the maximum, so that no row is sent, until the
         // leader has sent the version.
         let mut known = StoreVersion::MAX;
@@ -220,83 +345,143 @@
         let mut clock: Option<(u64, Duration)> = None;
         loop {
             tokio::select! {
-                changed = self.leader.changed() => {
+                changed = self.leader.changed(), if position != Position::Member => {
                     if changed.is_err() || *self.leader.borrow() != Some(address) {
-                        return;
+                        return end;
+                    }
+                    continue;
+                }
+                _ = moved.changed(), if position != Position::Relay => {
+                    if self.roster.is_relay() {
+                        return LinkEnd::Moved;
+                    }
+                    continue;
+                }
+                errand = self.asks.next(), if end == LinkEnd::Lost && position == Position::Member => {
+                    if framed.send(errand).await.is_err() {
+                        return end;
                     }
                     continue;
                 }
                 frame = framed.next() => {
-                    match frame {
-                        Some(Ok(Body::Lead(message))) => {
+                    let message = match frame {
+                        Some(Ok(Body::Lead(message))) => message,
+                        Some(Ok(Body::Grant(grant))) => {
                             heard = Instant::now();
-                            known = if message.config > 0 { message.config } else { known };
-                            self.apply(&message);
-                            if message.clock > 0 {
-                                clock = Some((message.clock, boot_now()));
-                            }
-                            if message.fence == 0 || message.resigned {
-                                info!(leader:% = address; "that VM does not hold the lease");
-                                return;
-                            }
+                            self.asks.on_grant(&grant);
+                            continue;
                         }
-                        Some(Ok(Body::Status(_))) | None => {
-                            info!(leader:% = address; "the leader has closed the connection");
-                            return;
+                        Some(Ok(Body::Status(_) | Body::Ask(_) | Body::Refund(_))) | None => {
+                            info!(vm:% = address, position:?; "the other VM has closed the connection");
+                            return end;
                         }
                         Some(Err(error)) => {
-                            info!(leader:% = address, error:%;
-                                "the connection to the leader has failed");
-                            return;
+                            info!(vm:% = address, position:?, error:%;
+                                "the connection to another VM has failed");
+                            return end;
+                        }
+                    };
+                    heard = Instant::now();
+                    known = if message.config > 0 { message.config } else { known };
+                    self.apply(&message);
+                    if message.clock > 0 {
+                        clock = Some((message.clock, boot_now()));
+                    }
+                    let wanted = match position {
+                        Position::Member => Role::Relay,
+                        Position::Relay | Position::Candidate => Role::Leader,
+                    };
+                    if message.role() != wanted || message.resigned {
+                        info!(vm:% = address, position:?, role:? = message.role();
+                            "the other VM is not the one to report to");
+                        return end;
+                    }
+                    if position == Position::Candidate {
+                        if message.appointed {
+                            self.roster.set_position(Position::Relay, "the leader has appointed it");
+                            return LinkEnd::Moved;
+                        }
+                        if self.has_relay() {
+                            return LinkEnd::Lost;
+                        }
+                    } else if end == LinkEnd::Refused && position == Position::Member {
+                        self.roster.set_position(Position::Member, "a relay serves it");
+                        for ask in self.asks.repeat() {
+                            if framed.send(ask).await.is_err() {
+                                return LinkEnd::Lost;
+                            }
                         }
                     }
+                    end = LinkEnd::Lost;
                     continue;
                 }
                 () = timer.wait() => {}
             }
+            if position == Position::Member && self.roster.offers_itself() {
+                return LinkEnd::Offers;
+            }
             if heard.elapsed() > LINK_TIMEOUT {
-                info!(leader:% = address, silent_ms = heard.elapsed().as_millis() as u64;
-                    "the leader is silent");
-                return;
+                info!(vm:% = address, position:?, silent_ms = heard.elapsed().as_millis() as u64;
+                    "the other VM is silent");
+                return end;
             }
-            let mut status = self.status(known, full);
+            let mut status = self.status(known, position, full);
             status.heard = clock.map_or(0, |(leader, at)| {
                 leader + (boot_now().saturating_sub(at)).as_millis() as u64
             });
             full = false;
             if framed.send(Body::Status(status)).await.is_err() {
-                return;
+                return end;
             }
         }
     }
 
-    /// Returns this VM's report for a leader that has the config row of version `known`.
+    /// Returns this VM's report for a VM that has the config row of version `known`.
     ///
     /// `full` adds what a new leader does not know yet.
-    fn status(&self, known: StoreVersion, full: bool) -> Status {
-        let (demand, adapters) = self.scheduler.take_demand();
-        let row = self.active_fleet.row().filter(|row| row.version > known);
-        Status {
+    fn status(&self, known: StoreVersion, position: Position, full: bool) -> Status {
+        let mut status = Status {
             vm: self.settings.vm.to_string(),
             domain: self.settings.domain.to_string(),
             life: self.life,
             sent: boot_now().as_millis() as u64,
+            peer: self.settings.peer.to_string(),
+            roster: self.roster.version(),
             config: self.active_fleet.row_version(),
+            listed: self.endpoint_list.version(),
+            ..Status::default()
+        };
+        status.set_position(match position {
+            Position::Candidate => wire::Position::Candidate,
+            Position::Member => wire::Position::Member,
+            Position::Relay => wire::Position::ReportingRelay,
+        });
+        if position == Position::Candidate {
+            return Status { capacity: self.settings.capacity, ..status };
+        }
+        let (demand, adapters) = self.scheduler.take_demand();
+        let unreached = self.scheduler.take_unreachable();
+        let status = Status { demand, adapters, unreached, ..status };
+        if position == Position::Member {
+            return status;
+        }
+        let row = self.active_fleet.row().filter(|row| row.version > known);
+        Status {
             config_row: row.and_then(|row| row.value).unwrap_or_default().to_vec(),
-            demand,
-            adapters,
+            members: self.scheduler.members() as u32,
             asked: self.quotas.asked_tokens(),
             spends: self.quotas.spend_reports(full),
-            unreached: self.scheduler.take_unreachable(),
             floors: self.quotas.floor_spends(),
             last: self.quotas.is_settled(),
-            heard: 0,
-            listed: self.endpoint_list.version(),
+            ..status
         }
     }
 
-    /// Applies a message of the leader.
+    /// Applies a message of the leader, of a relay, or of a VM that knows others.
     fn apply(&self, message: &Lead) {
+        if let Some(roster) = &message.roster {
+            self.roster.update(&read_roster(roster));
+        }
         if !message.config_row.is_empty() {
             let row = StoreRow {
                 key: "config".into(),
@@ -316,9 +501,29 @@
             let live = message.whole.then(|| message.live.iter().map(EndpointId::new).collect());
             self.endpoint_list.on_relayed(&ListUpdate { changes, live });
         }
-        if message.fence == 0 {
-            return;
+        match message.role() {
+            Role::None => {}
+            Role::Relay => self.apply_relay(message),
+            Role::Leader => self.apply_leader(message),
+        }
+    }
+
+    /// Applies what only a relay tells its members.
+    fn apply_relay(&self, message: &Lead) {
+        // The receiver is gone only while the process shuts down.
+        let _ = self.events.send(CoordinatorEvent::RelayAlive);
+        self.scheduler.on_leader_heard();
+        if message.sent > 0 {
+            if message.current {
+                self.roster.on_relayed();
+            }
+            self.quotas.set_share(0, message.vms as usize, message.funded);
         }
+        self.scheduler.on_leader_state(&message.held);
+    }
+
+    /// Applies what only the leader tells.
+    fn apply_leader(&self, message: &Lead) {
         // The receiver is gone only while the process shuts down.
         let _ = self.events.send(if message.resigned {
             let waits = message.waits.iter().map(|wait| {
@@ -329,9 +534,13 @@
                 message.fence,
                 Handover { default_wait, endpoints: waits.collect() },
             )
+        } else if message.fence == 0 {
+            // A candidate's reply carries no lease.
+            CoordinatorEvent::RelayAlive
         } else {
             CoordinatorEvent::LeaderAlive(message.fence, message.renewed)
         });
+        self.scheduler.on_leader_heard();
         if message.sent > 0 {
             if self.leader.borrow().is_some() {
                 self.endpoint_list.on_relay();
@@ -344,6 +553,19 @@
             }
             self.quotas.on_ceilings(message.fence, &message.ceilings, sent);
         }
+        if !message.held.is_empty() {
+            let _ = self.events.send(CoordinatorEvent::News(message.held.clone()));
+        }
         self.scheduler.on_leader_state(&message.held);
     }
 }
+
+/// Reads a roster; leaves out relays whose address cannot be read.
+fn read_roster(roster: &wire::Roster) -> Roster {
+    let relays = roster.relays.iter().filter_map(|relay| {
+        let peer = relay.peer.parse().ok()?;
+        Some(Relay { vm: VmId::new(&relay.vm), domain: (&relay.domain).into(), peer })
+    });
+    let target = roster.target as usize;
+    Roster { version: roster.version, relays: relays.collect(), target }
+}
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -26,6 +26,7 @@
     pub(crate) store_calls: Counter<u64>,
     pub(crate) store_errors: Counter<u64>,
     pub(crate) leases: Counter<u64>,
+    pub(crate) asks: Counter<u64>,
 }
 
 impl Metrics {
@@ -49,6 +50,7 @@
             store_calls: counter(&meter, "store_calls", "calls to the platform's store"),
             store_errors: counter(&meter, "store_errors", "calls to the store that failed"),
             leases: counter(&meter, "leases", "times that this VM took the fleet's lease"),
+            asks: counter(&meter, "asks", "requests whose tokens another VM asked this relay for"),
             registry,
             _provider: provider,
         })
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -1,12 +1,14 @@
 //! The parts that live as long as the process: its settings, state and background tasks.
 
 pub(crate) mod active_fleet;
+pub(crate) mod asks;
 pub(crate) mod coordinator;
 pub(crate) mod endpoint_list;
 pub(crate) mod follow;
 pub(crate) mod link;
 pub(crate) mod metrics;
 pub(crate) mod quotas;
+pub(crate) mod roster;
 pub(crate) mod scheduler;
 pub(crate) mod settings;
 pub(crate) mod vm;
--- a/crates/entry/src/process/quotas.rs
+++ b/crates/entry/src/process/quotas.rs
@@ -3,7 +3,7 @@
 //! A VM spends tokens from its floor, which needs no leader, and from the workspace's pool up to
 //! the ceiling that the leader grants.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bamboocourse_decide::{
@@ -11,16 +11,40 @@
     Limit, RetryLimit, ServiceId, TokenSpender, Tokens, WindowedRetryBudget, WorkspaceId,
 };
 use log::info;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::Instant;
 
 use crate::edge::clock::boot_now;
+use crate::process::asks::{Errand, OpenAsk, RELAY_RETRY_DELAY};
+use crate::process::roster::RosterView;
 use crate::process::settings::Bounds;
-use crate::wire::{Ceiling, FloorSpend, Spend};
+use crate::wire::{Ceiling, FloorSpend, Refund, Spend};
+
+/// Why tokens are refused, with the time after which the caller may retry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum TokensRefused {
+    /// The workspace's limit is used.
+    Exhausted(Duration),
+    /// Nobody can be reached who knows what is left of the limit.
+    Unavailable(Duration),
+}
+
+/// Tokens that were admitted.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TokenGrant {
+    admission: Admission,
+    /// Whether a relay granted them.
+    asked: bool,
+}
 
 /// This VM's token quotas and retry budgets.
+///
+/// A relay admits tokens itself, also those of the requests of other VMs; the others ask a relay.
 #[derive(Debug)]
 pub(crate) struct Quotas {
     state: Mutex<State>,
+    roster: Arc<RosterView>,
+    errands: mpsc::UnboundedSender<Errand>,
     bounds: Bounds,
     started: Duration,
     /// From when floors may be used without knowing what a former process of this VM spent: all of
@@ -91,10 +115,15 @@
 }
 
 impl Quotas {
-    /// Creates quotas without a configuration.
+    /// Creates quotas without a configuration; asks for tokens go through `errands`.
     ///
     /// `first_start` says that no former process of this VM can have spent anything.
-    pub(crate) fn new(bounds: Bounds, first_start: bool) -> Self {
+    pub(crate) fn new(
+        bounds: Bounds,
+        first_start: bool,
+        roster: Arc<RosterView>,
+        errands: mpsc::UnboundedSender<Errand>,
+    ) -> Self {
         let started = boot_now();
         let after = |window| if first_start { Duration::ZERO } else { started + window };
         let state = State {
@@ -111,6 +140,8 @@
         };
         Self {
             state: Mutex::new(state),
+            roster,
+            errands,
             bounds,
             started,
             floors_from: after(bounds.quota_window),
@@ -151,24 +182,62 @@
         state.limits = limits;
     }
 
-    /// Admits a request's tokens, waiting for a higher ceiling for at most `timeout`.
+    /// Admits a request's tokens, waiting for them for at most `timeout`.
     ///
     /// # Errors
-    /// Returns the time after which the caller may retry.
+    /// Returns why not, with the time after which the caller may retry.
     pub(crate) async fn admit(
         &self,
         workspace: &WorkspaceId,
         tokens: Tokens,
         timeout: Duration,
-    ) -> Result<Admission, Duration> {
-        let until = tokio::time::Instant::now() + timeout;
+    ) -> Result<TokenGrant, TokensRefused> {
+        if self.is_relay() {
+            let admission = self.admit_own(workspace, tokens, timeout).await?;
+            return Ok(TokenGrant { admission, asked: false });
+        }
+        let until = Instant::now() + timeout;
+        let (ask, answer) = OpenAsk::new(workspace.clone(), tokens, until);
+        // The receiver is gone only while the process shuts down.
+        let _ = self.errands.send(Errand::Ask(ask));
+        match tokio::time::timeout_at(until, answer).await {
+            Ok(Ok(result)) => result.map(|admission| TokenGrant { admission, asked: true }),
+            Ok(Err(_)) | Err(_) => Err(TokensRefused::Unavailable(RELAY_RETRY_DELAY)),
+        }
+    }
+
+    /// Admits tokens of another VM's request, as a relay.
+    ///
+    /// # Errors
+    /// Returns why not, with the time after which the caller may retry.
+    pub(crate) async fn admit_for_member(
+        &self,
+        workspace: &str,
+        tokens: Tokens,
+        timeout: Duration,
+    ) -> Result<Admission, TokensRefused> {
+        let known = self.state().spenders.contains_key(workspace);
+        if !self.is_relay() || !known {
+            return Err(TokensRefused::Unavailable(CLOSED_RETRY_DELAY));
+        }
+        self.admit_own(&WorkspaceId::new(workspace), tokens, timeout).await
+    }
+
+    /// Admits tokens from this VM's floor or ceiling.
+    async fn admit_own(
+        &self,
+        workspace: &WorkspaceId,
+        tokens: Tokens,
+        timeout: Duration,
+    ) -> Result<Admission, TokensRefused> {
+        let until = Instant::now() + timeout;
         let mut waiting: Option<WaitingTokens> = None;
         loop {
             let granted = self.granted.notified();
-            let error = {
+            let (error, is_led) = {
                 let mut state = self.state();
                 if state.closed {
-                    return Err(CLOSED_RETRY_DELAY);
+                    return Err(TokensRefused::Unavailable(CLOSED_RETRY_DELAY));
                 }
                 let Some(spender) = state.spenders.get_mut(workspace) else {
                     return Ok(Admission { floor: 0, pool: 0 });
@@ -190,26 +259,52 @@
                     spender.add_waiting(tokens);
                     waiting = Some(WaitingTokens { quotas: self, workspace, tokens });
                 }
-                error
+                (error, spender.has_ceiling(now))
             };
             let after = match error {
-                AdmitError::Exhausted(after) => return Err(after),
+                AdmitError::Exhausted(after) => return Err(TokensRefused::Exhausted(after)),
                 AdmitError::Pending(after) => after,
             };
             self.shortage.notify_one();
             if tokio::time::timeout_at(until, granted).await.is_err() {
-                return Err(after);
+                return Err(if is_led {
+                    TokensRefused::Exhausted(after)
+                } else {
+                    TokensRefused::Unavailable(after)
+                });
             }
         }
     }
 
     /// Takes back the tokens of a request that was never sent.
-    pub(crate) fn refund(&self, workspace: &WorkspaceId, admission: Admission) {
+    pub(crate) fn refund(&self, workspace: &WorkspaceId, grant: TokenGrant) {
+        let pool = grant.admission.pool;
+        if grant.asked && pool > 0 {
+            let refund = Refund { workspace: workspace.to_string(), pool };
+            // The receiver is gone only while the process shuts down.
+            let _ = self.errands.send(Errand::Refund(refund));
+        } else if !grant.asked {
+            self.refund_own(workspace, pool);
+        }
+    }
+
+    /// Takes back tokens from below this VM's ceiling.
+    pub(crate) fn refund_own(&self, workspace: &str, pool: Tokens) {
         if let Some(spender) = self.state().spenders.get_mut(workspace) {
-            spender.refund(admission);
+            spender.refund(Admission { floor: 0, pool });
         }
     }
 
+    /// Returns whether this VM is a relay, which admits tokens itself.
+    pub(crate) fn is_relay(&self) -> bool {
+        self.roster.is_relay()
+    }
+
+    /// Returns the number of VMs that share the retry budgets.
+    pub(crate) fn vms(&self) -> usize {
+        self.state().vms
+    }
+
     /// Applies the ceilings that a leader granted in reply to a report.
     ///
     /// `sent` is when the report was made, on this VM's boot clock.
--- a/crates/entry/src/process/scheduler.rs
+++ b/crates/entry/src/process/scheduler.rs
@@ -6,16 +6,19 @@
 
 use bamboocourse_decide::{
     AdapterId, Dispatcher, DomainId, EndpointId, FastMap, FastSet, Load, ModelId, ModelRef,
-    QueueTicket, Requirements, ResidentModels, SendOutcome, ServiceId, Shortage,
+    QueueTicket, Requirements, ResidentModels, SendOutcome, ServiceId, Shortage, VmId,
 };
 use log::info;
 use tokio::sync::{Notify, oneshot};
 
 use crate::edge::ListedEndpoint;
 use crate::edge::clock::boot_now;
-use crate::wire::{AdapterUse, Demand, Held};
+use crate::wire::{AdapterUse, Demand, Held, Status};
 
-/// How long the leader's message on an endpoint's models overrides the endpoint's list entry.
+/// How long a member's reported demand counts.
+const MEMBER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long after the leader's last message what it told of endpoints' models overrides their
+/// entries in the list.
 const LEADER_STATE_TIMEOUT: Duration = Duration::from_secs(16);
 
 /// The endpoints, the waiting requests, and the demand that is reported to the leader.
@@ -33,8 +36,8 @@
     waiters: FastMap<QueueTicket, oneshot::Sender<EndpointSlot>>,
     /// When each model that is being loaded will be available.
     loading: FastMap<(EndpointId, ModelId), Duration>,
-    /// When the leader's last message on each endpoint's models arrived.
-    leader_state: FastMap<EndpointId, Duration>,
+    /// The endpoints whose models the leader has told.
+    leader_state: FastSet<EndpointId>,
     /// How many requests hold a slot now.
     open: FastMap<(ServiceId, ModelId), u32>,
     /// How many attempts since the last report found no endpoint with the model or adapter.
@@ -43,6 +46,10 @@
     adapters: FastMap<(ServiceId, ModelRef), bool>,
     /// The endpoints that could not be reached since the last report.
     unreachable: FastSet<EndpointId>,
+    /// The last reported demand of each VM that reports to this one, and when it was reported.
+    members: FastMap<VmId, (Duration, Vec<Demand>)>,
+    /// When the leader or a relay was last heard.
+    leader_heard: Duration,
     /// The last ticket that was given out.
     last_ticket: QueueTicket,
 }
@@ -134,11 +141,13 @@
             addresses: FastMap::default(),
             waiters: FastMap::default(),
             loading: FastMap::default(),
-            leader_state: FastMap::default(),
+            leader_state: FastSet::default(),
             open: FastMap::default(),
             unserved: FastMap::default(),
             adapters: FastMap::default(),
             unreachable: FastSet::default(),
+            members: FastMap::default(),
+            leader_heard: Duration::ZERO,
             last_ticket: 0,
         };
         Self { state: Mutex::new(state), shortage: Notify::new() }
@@ -160,7 +169,7 @@
         state.dispatcher.upsert(name, listed.info.clone());
         state.addresses.insert(name.clone(), listed.address);
         let overridden =
-            state.leader_state.get(name).is_some_and(|at| now < *at + LEADER_STATE_TIMEOUT);
+            state.leader_state.contains(name) && now < state.leader_heard + LEADER_STATE_TIMEOUT;
         if restarted || !overridden {
             state.dispatcher.set_resident(name, listed.report.resident.clone());
         }
@@ -176,6 +185,39 @@
         state.leader_state.remove(name);
     }
 
+    /// Records a message of the leader or of a relay.
+    pub(crate) fn on_leader_heard(&self) {
+        self.state().leader_heard = boot_now();
+    }
+
+    /// Records the report of a VM that reports to this one; returns whether its callers lack a model
+    /// or an adapter.
+    pub(crate) fn on_member(&self, report: &Status) -> bool {
+        let now = boot_now();
+        let mut state = self.state();
+        let mut lacks = report.demand.iter().any(|item| item.waiting > 0);
+        for item in &report.adapters {
+            let target =
+                ModelRef { model: (&item.model).into(), adapter: Some((&item.adapter).into()) };
+            *state.adapters.entry(((&item.service).into(), target)).or_default() |= item.missing;
+            lacks |= item.missing;
+        }
+        state.unreachable.extend(report.unreached.iter().map(EndpointId::new));
+        state.members.insert(VmId::new(&report.vm), (now, report.demand.clone()));
+        if lacks || !report.unreached.is_empty() {
+            self.shortage.notify_one();
+        }
+        lacks
+    }
+
+    /// Returns how many VMs report to this one.
+    pub(crate) fn members(&self) -> usize {
+        let now = boot_now();
+        let mut state = self.state();
+        state.members.retain(|_, (at, _)| now < *at + MEMBER_TIMEOUT);
+        state.members.len()
+    }
+
     /// Applies the leader's message on which models endpoints hold and load.
     pub(crate) fn on_leader_state(self: &Arc<Self>, held: &[Held]) {
         if held.is_empty() {
@@ -202,7 +244,7 @@
                 })
                 .collect();
             state.dispatcher.set_resident(&name, resident);
-            state.leader_state.insert(name, now);
+            state.leader_state.insert(name);
         }
         drop(state);
         self.dispatch_waiting();
@@ -301,6 +343,14 @@
         for ((service, target), waiting) in state.dispatcher.waiting_by_model() {
             totals.entry((service, target.model)).or_default().1 += waiting;
         }
+        let now = boot_now();
+        let live = state.members.values().filter(|(at, _)| now < *at + MEMBER_TIMEOUT);
+        for item in live.flat_map(|(_, demand)| demand) {
+            let key = (ServiceId::new(&item.service), ModelId::new(&item.model));
+            let total = totals.entry(key).or_default();
+            total.0 += item.open;
+            total.1 += item.waiting;
+        }
         let demand = totals.into_iter().map(|((service, model), (open, waiting))| Demand {
             service: service.into(),
             model: model.into(),
--- a/crates/entry/src/process/settings.rs
+++ b/crates/entry/src/process/settings.rs
@@ -24,6 +24,12 @@
     pub metrics: Option<SocketAddr>,
     /// Whether the whole system starts for the first time.
     pub first_start: bool,
+    /// Addresses of a few VMs, for a VM that knows no other and cannot reach the store.
+    pub seeds: Vec<SocketAddr>,
+    /// The number of failure domains.
+    pub domains: usize,
+    /// How large the VM is, in any unit; relays are the larger VMs.
+    pub capacity: u64,
     /// The limits that the deployment sets.
     pub bounds: Bounds,
 }
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -17,12 +17,14 @@
 use crate::edge::pool::Pool;
 use crate::edge::{Protocol, Store};
 use crate::process::active_fleet::ActiveFleet;
+use crate::process::asks::Asks;
 use crate::process::coordinator::{Coordinator, CoordinatorEvent, Handles};
 use crate::process::endpoint_list::EndpointList;
 use crate::process::follow::{self, Sink};
-use crate::process::link::{self, LeaderLink};
+use crate::process::link::{self, Doors, LeaderLink};
 use crate::process::metrics::Metrics;
 use crate::process::quotas::Quotas;
+use crate::process::roster::RosterView;
 use crate::process::scheduler::Scheduler;
 use crate::process::settings::EntrySettings;
 use crate::request::Pipeline;
@@ -76,7 +78,10 @@
         let pool = Pool::new(settings.local);
         let (events, event_receiver) = mpsc::unbounded_channel();
         let scheduler = Arc::new(Scheduler::new(settings.domain.clone()));
-        let quotas = Arc::new(Quotas::new(settings.bounds, settings.first_start));
+        let roster = Arc::new(RosterView::new(settings.clone()));
+        let (errands, errand_receiver) = mpsc::unbounded_channel();
+        let quotas =
+            Arc::new(Quotas::new(settings.bounds, settings.first_start, roster.clone(), errands));
         let active_fleet = Arc::new(ActiveFleet::new(protocol.clone(), quotas.clone()));
         let delay = settings.bounds.removal_delay;
         let endpoint_list =
@@ -108,7 +113,9 @@
             pool: pool.clone(),
             active_fleet: active_fleet.clone(),
             endpoint_list: endpoint_list.clone(),
+            scheduler: scheduler.clone(),
             quotas: quotas.clone(),
+            roster: roster.clone(),
             metrics: metrics.clone(),
             leader,
             events: events.clone(),
@@ -122,6 +129,8 @@
             quotas: quotas.clone(),
             events: events.clone(),
             budget: pool.budget().clone(),
+            roster: roster.clone(),
+            asks: Asks::new(errand_receiver),
             leader: leader_receiver,
         };
         let callers =
@@ -133,10 +142,12 @@
         if let Some(listener) = metrics_listener {
             tasks.spawn(status::accept(listener, StatusPage::Metrics(metrics.clone())));
         }
-        tasks.spawn(follow::follow(store.clone(), Sink::Config(active_fleet), metrics.clone()));
-        tasks.spawn(follow::follow(store, Sink::Endpoints(endpoint_list), metrics));
+        let config = Sink::Config(active_fleet);
+        tasks.spawn(follow::follow(store.clone(), config, roster.clone(), metrics.clone()));
+        tasks.spawn(follow::follow(store, Sink::Endpoints(endpoint_list), roster, metrics.clone()));
         tasks.spawn(Coordinator::new(handles, life).run(event_receiver));
-        tasks.spawn(link::accept(peer, events.clone(), pool.budget().clone()));
+        let doors = Doors { events: events.clone(), quotas: quotas.clone(), metrics };
+        tasks.spawn(link::accept(peer, doors, pool.budget().clone()));
         tasks.spawn(link.run());
         tasks.spawn(run_upkeep(scheduler, pool));
         info!(vm = settings.vm.as_str(), domain = settings.domain.as_str(), life,
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -17,8 +17,8 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    Admission, ErrorKind, FleetConfig, FleetRoute, FleetWorkspace, Refusal, Requirements,
-    SendOutcome, ServiceId, WorkspaceId,
+    ErrorKind, FleetConfig, FleetRoute, FleetWorkspace, Refusal, Requirements, SendOutcome,
+    ServiceId, WorkspaceId,
 };
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -32,7 +32,7 @@
 use crate::edge::{CallerRequest, Protocol, model_name};
 use crate::process::active_fleet::ActiveFleet;
 use crate::process::metrics::Metrics;
-use crate::process::quotas::Quotas;
+use crate::process::quotas::{Quotas, TokenGrant, TokensRefused};
 use crate::process::scheduler::{EndpointSlot, Scheduler};
 
 use self::relay::Relay;
@@ -172,7 +172,7 @@
         body: Incoming,
         arrived: Instant,
         trace: &mut Trace,
-    ) -> Result<(Job, Option<(WorkspaceId, Admission)>), Refusal> {
+    ) -> Result<(Job, Option<(WorkspaceId, TokenGrant)>), Refusal> {
         let Some(fleet) = self.active_fleet.fleet() else {
             let refusal = Refusal::not_run(ErrorKind::NotReady, "no configuration is known yet");
             return Err(refusal.retry_after(DEFAULT_RETRY_AFTER));
@@ -207,9 +207,16 @@
                     .map_or(workspace.default_cost, |(prompt, output)| prompt + output);
                 let timeout = TOKEN_TIMEOUT.min(route.latency_target / 2);
                 let admission = self.quotas.admit(&workspace.name, tokens, timeout).await;
-                let admission = admission.map_err(|after| {
-                    let detail = format!("{tokens} tokens are beyond {}'s limit", workspace.name);
-                    Refusal::not_run(ErrorKind::RateExceeded, detail).retry_after(after)
+                let admission = admission.map_err(|refused| match refused {
+                    TokensRefused::Exhausted(after) => {
+                        let detail =
+                            format!("{tokens} tokens are beyond {}'s limit", workspace.name);
+                        Refusal::not_run(ErrorKind::RateExceeded, detail).retry_after(after)
+                    }
+                    TokensRefused::Unavailable(after) => {
+                        let detail = format!("nobody can grant tokens of {}", workspace.name);
+                        Refusal::not_run(ErrorKind::NotReady, detail).retry_after(after)
+                    }
                 })?;
                 Some((workspace.name.clone(), admission))
             }
@@ -236,7 +243,7 @@
     async fn run(
         self: &Arc<Self>,
         job: Job,
-        admission: Option<(WorkspaceId, Admission)>,
+        admission: Option<(WorkspaceId, TokenGrant)>,
         trace: &mut Trace,
     ) -> HandleResult {
         let mut needs = job.requirements();
--- a/crates/entry/src/request/slot.rs
+++ b/crates/entry/src/request/slot.rs
@@ -10,8 +10,10 @@
 use super::{DEFAULT_RETRY_AFTER, Job, Pipeline};
 use crate::process::scheduler::EndpointSlot;
 
-/// How long the leader has to announce that it loads a missing model.
+/// How long the leader has to announce to a relay that it loads a missing model.
 const LOAD_NOTICE_TIMEOUT: Duration = Duration::from_millis(40);
+/// The same for a VM that reports to a relay.
+const MEMBER_LOAD_NOTICE_TIMEOUT: Duration = Duration::from_millis(100);
 /// The longest wait for an adapter, which loads within milliseconds once it is ordered.
 const ADAPTER_TIMEOUT: Duration = Duration::from_millis(400);
 /// The longest wait for a service that has no ready endpoint.
@@ -69,7 +71,9 @@
         trace: &mut Trace,
     ) -> Result<EndpointSlot, Refusal> {
         let started = Instant::now();
-        if let Some(slot) = self.scheduler.acquire(needs, LOAD_NOTICE_TIMEOUT.min(max_wait)).await {
+        let notice =
+            if self.quotas.is_relay() { LOAD_NOTICE_TIMEOUT } else { MEMBER_LOAD_NOTICE_TIMEOUT };
+        if let Some(slot) = self.scheduler.acquire(needs, notice.min(max_wait)).await {
             trace.add_wait(started.elapsed());
             return Ok(slot);
         }
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -2,7 +2,7 @@
 /// One frame between a VM and the leader, which is the VM that holds the fleet's lease.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Frame {
-    #[prost(oneof = "frame::Body", tags = "1, 2")]
+    #[prost(oneof = "frame::Body", tags = "1, 2, 3, 4, 5")]
     pub body: ::core::option::Option<frame::Body>,
 }
 /// Nested message and enum types in `Frame`.
@@ -13,6 +13,12 @@
         Status(super::Status),
         #[prost(message, tag = "2")]
         Lead(super::Lead),
+        #[prost(message, tag = "3")]
+        Ask(super::Ask),
+        #[prost(message, tag = "4")]
+        Grant(super::Grant),
+        #[prost(message, tag = "5")]
+        Refund(super::Refund),
     }
 }
 /// A VM's report to the leader.
@@ -66,6 +72,21 @@
     /// milliseconds; computed from the leader's last reply, and 0 before the first reply.
     #[prost(uint64, tag = "15")]
     pub heard: u64,
+    /// What the sender asks the receiver to be for it.
+    #[prost(enumeration = "Position", tag = "16")]
+    pub position: i32,
+    /// The address where the sender accepts connections of other VMs.
+    #[prost(string, tag = "17")]
+    pub peer: ::prost::alloc::string::String,
+    /// How large the sender is; relays are the larger VMs.
+    #[prost(uint64, tag = "18")]
+    pub capacity: u64,
+    /// The number of VMs that report to the sender.
+    #[prost(uint32, tag = "19")]
+    pub members: u32,
+    /// The version of the roster that the sender knows.
+    #[prost(uint64, tag = "20")]
+    pub roster: u64,
 }
 /// What a VM spent of its floor of one workspace.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -214,6 +235,89 @@
     /// The names of all listed endpoints, if `whole` is set; others are no longer listed.
     #[prost(string, repeated, tag = "21")]
     pub live: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// What the sender is to the receiver.
+    #[prost(enumeration = "Role", tag = "22")]
+    pub role: i32,
+    /// The relays of the fleet; absent unless the receiver knows an older roster.
+    #[prost(message, optional, tag = "23")]
+    pub roster: ::core::option::Option<Roster>,
+    /// Whether the receiver, a candidate, is a relay from now on.
+    #[prost(bool, tag = "24")]
+    pub appointed: bool,
+    /// Whether what a relay tells of the store is as new as the store's changes that reach VMs.
+    #[prost(bool, tag = "25")]
+    pub current: bool,
+}
+/// The relays of the fleet.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Roster {
+    /// Grows with every change.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The relays.
+    #[prost(message, repeated, tag = "2")]
+    pub relays: ::prost::alloc::vec::Vec<Relay>,
+    /// The number of relays that each domain should have.
+    #[prost(uint32, tag = "3")]
+    pub target: u32,
+}
+/// A VM through which others of its domain reach the leader.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Relay {
+    /// The name of the VM.
+    #[prost(string, tag = "1")]
+    pub vm: ::prost::alloc::string::String,
+    /// The failure domain of the VM.
+    #[prost(string, tag = "2")]
+    pub domain: ::prost::alloc::string::String,
+    /// The address where the VM accepts connections of other VMs.
+    #[prost(string, tag = "3")]
+    pub peer: ::prost::alloc::string::String,
+}
+/// A request for the tokens of one request, to a relay.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Ask {
+    /// The number of the request on this connection's sender.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// The name of the workspace.
+    #[prost(string, tag = "2")]
+    pub workspace: ::prost::alloc::string::String,
+    /// The tokens.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+    /// How long the relay may wait for tokens, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub timeout: u32,
+}
+/// A relay's reply to an ask.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Grant {
+    /// The `id` of the ask.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Whether the tokens are granted.
+    #[prost(enumeration = "Outcome", tag = "2")]
+    pub outcome: i32,
+    /// The tokens from the relay's floor.
+    #[prost(uint64, tag = "3")]
+    pub floor: u64,
+    /// The tokens from the pool, below the relay's ceiling.
+    #[prost(uint64, tag = "4")]
+    pub pool: u64,
+    /// When the caller of a denied request may retry, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub retry: u32,
+}
+/// Tokens that were granted by an ask and not used.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Refund {
+    /// The name of the workspace.
+    #[prost(string, tag = "1")]
+    pub workspace: ::prost::alloc::string::String,
+    /// The tokens from the pool.
+    #[prost(uint64, tag = "2")]
+    pub pool: u64,
 }
 /// How long the next leader must wait before it orders one endpoint.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -283,3 +387,102 @@
     #[prost(bool, tag = "4")]
     pub removed: bool,
 }
+/// What the sender of a report is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum Position {
+    /// A relay, which reports to the leader.
+    ReportingRelay = 0,
+    /// A VM that reports to a relay of its domain.
+    Member = 1,
+    /// A VM without a relay, which asks the leader for one.
+    Candidate = 2,
+}
+impl Position {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::ReportingRelay => "REPORTING_RELAY",
+            Self::Member => "MEMBER",
+            Self::Candidate => "CANDIDATE",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "REPORTING_RELAY" => Some(Self::ReportingRelay),
+            "MEMBER" => Some(Self::Member),
+            "CANDIDATE" => Some(Self::Candidate),
+            _ => None,
+        }
+    }
+}
+/// What the sender of a message is to the receiver.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum Role {
+    /// Neither a relay nor the leader; `roster` tells of other VMs.
+    None = 0,
+    /// A relay of the receiver's domain.
+    Relay = 1,
+    /// The leader.
+    Leader = 2,
+}
+impl Role {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::None => "NONE",
+            Self::Relay => "RELAY",
+            Self::Leader => "LEADER",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "NONE" => Some(Self::None),
+            "RELAY" => Some(Self::Relay),
+            "LEADER" => Some(Self::Leader),
+            _ => None,
+        }
+    }
+}
+/// The outcome of an ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum Outcome {
+    /// The tokens are granted.
+    Granted = 0,
+    /// The workspace's limit is used.
+    Exhausted = 1,
+    /// The relay cannot tell, as it has no leader or no configuration.
+    Unavailable = 2,
+}
+impl Outcome {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Granted => "GRANTED",
+            Self::Exhausted => "EXHAUSTED",
+            Self::Unavailable => "UNAVAILABLE",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "GRANTED" => Some(Self::Granted),
+            "EXHAUSTED" => Some(Self::Exhausted),
+            "UNAVAILABLE" => Some(Self::Unavailable),
+            _ => None,
+        }
+    }
+}
--- a/crates/entry/tests/row.rs
+++ b/crates/entry/tests/row.rs
@@ -1,6 +1,8 @@
 //! The JSON of the fleet's lease row: it round-trips and stays within the store's limit for a row.
 
-use bamboocourse_decide::{FloorHistory, LeaseRow, PoolRecord, UnreportedSpend, VmId, WorkspaceId};
+use bamboocourse_decide::{
+    FloorHistory, LeaseRow, PoolRecord, Relay, Roster, UnreportedSpend, VmId, WorkspaceId,
+};
 use bamboocourse_entry::LeaderRow;
 
 /// The longest row that the platform's store accepts, in bytes.
@@ -10,6 +12,11 @@
 /// VM twice, with what it may spend and with what it may have spent unreported.
 fn row(vms: usize, workspaces: usize) -> LeaderRow {
     let vm = |index: usize| VmId::new(format!("edge-tw-south-a-{index}"));
+    let relay = |index: usize| Relay {
+        vm: vm(index),
+        domain: "tw-south-a".into(),
+        peer: ([10, 1, 0, 14], 8689).into(),
+    };
     let record = |workspace: usize| PoolRecord {
         used: vec![123_456; 8],
         open: (0..vms).map(|index| (vm(index), 10_000 + (index * workspace) as u64)).collect(),
@@ -31,6 +38,7 @@
         orders_from: 123_456_789,
         past: (0..vms.min(20)).map(|index| (vm(index), past.clone())).collect(),
         floors: (0..vms).map(|index| (vm(index), 4_545)).collect(),
+        roster: Roster { version: 5, relays: (0..vms).map(relay).collect(), target: 3 },
     }
 }
 
