Plan orders for at most a sixteenth of the leader's time

Cause: the leader planned after each event; at 209 endpoints and 445 models that filled its processor (0.23 of a core), and relays waited for ceilings: half of all refusals said that nobody grants tokens.

Change: a pause of 16 times a plan's own time, at most 250 ms; adapters are counted once a plan; a relay's urgent reports come later the more VMs report to it; floors are reported at most every 200 ms.

--- a/crates/decide/src/process/placement/service.rs
+++ b/crates/decide/src/process/placement/service.rs
@@ -471,6 +471,8 @@
         let mut missing: Vec<(Duration, AdapterKey)> =
             self.missing_adapters.iter().map(|(key, at)| (*at, key.clone())).collect();
         missing.sort();
+        // Adapters do not change the number of replicas.
+        let replicas = count_replicas(endpoints);
         for (requested, key) in missing {
             let (model, adapter) = &key;
             if now > requested + ADAPTER_REQUEST_TIMEOUT
@@ -479,7 +481,6 @@
                 self.missing_adapters.remove(&key);
                 continue;
             }
-            let replicas = count_replicas(endpoints);
             let mut best: Option<(f64, usize, Option<AdapterKey>)> = None;
             for (index, endpoint) in endpoints.iter().enumerate() {
                 if !endpoint.idle || !endpoint.resident.contains_key(model) {
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -22,6 +22,7 @@
 };
 use log::info;
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
 use crate::edge::clock::boot_now;
 use crate::edge::pool::Pool;
@@ -48,6 +49,11 @@
 const URGENT_RENEW_INTERVAL: Duration = Duration::from_millis(250);
 /// How often the task checks its timers.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
+/// The leader plans orders for at most one part in this many of the time, so that planning for many
+/// endpoints leaves it time for the relays.
+const PLAN_TIME_DIVISOR: u32 = 16;
+/// The longest time between two plans while something has changed.
+const MAX_PLAN_INTERVAL: Duration = Duration::from_millis(250);
 /// How long a relay's count of its members holds.
 const MEMBERS_TIMEOUT: Duration = Duration::from_secs(8);
 /// How long after a report that lacks a model or an adapter a member is told changes at once.
@@ -123,6 +129,9 @@
     peers: FastMap<PeerId, Peer>,
     /// What endpoints hold, as this VM decided or was told.
     news: NewsLog,
+    /// When the next plan may be made, and whether one is due.
+    next_plan: Instant,
+    plan_due: bool,
     /// Present while this VM holds the lease.
     leadership: Option<Leadership>,
     /// The fence and handover of the last leader that resigned, and when its message arrived.
@@ -195,6 +204,8 @@
             leaving: false,
             peers: FastMap::default(),
             news: NewsLog::default(),
+            next_plan: Instant::now(),
+            plan_due: false,
             leadership: None,
             handover: None,
             started: boot_now(),
@@ -212,6 +223,9 @@
                     None => return,
                 },
                 _ = ticks.tick() => self.on_tick(),
+                () = tokio::time::sleep_until(self.next_plan), if self.plan_due => {
+                    self.plan_orders(boot_now());
+                }
             }
             self.broadcast_changes();
         }
@@ -524,8 +538,20 @@
         }
     }
 
-    /// Plans orders and sends them, if this VM may issue orders now.
+    /// Plans orders and sends them, if this VM may issue orders now; plans later if the last plan
+    /// was made shortly before.
     fn plan_orders(&mut self, now: Duration) {
+        let began = Instant::now();
+        self.plan_due = began < self.next_plan;
+        if self.plan_due {
+            return;
+        }
+        self.plan_and_send(now);
+        let pause = (began.elapsed() * PLAN_TIME_DIVISOR).min(MAX_PLAN_INTERVAL);
+        self.next_plan = Instant::now() + pause;
+    }
+
+    fn plan_and_send(&mut self, now: Duration) {
         let Some((_, until)) = self.lease.term() else { return };
         let (Some(leadership), Some(fleet)) =
             (&mut self.leadership, self.handles.active_fleet.fleet())
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -34,7 +34,7 @@
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(12);
 /// What each VM that reports to this one adds to [`MIN_REPORT_INTERVAL`], so that the leader gets
 /// no more reports in a shortage of a large fleet.
-const MEMBER_REPORT_INTERVAL: Duration = Duration::from_millis(1);
+const MEMBER_REPORT_INTERVAL: Duration = Duration::from_millis(3);
 /// How long the other end may be silent before the connection to it is dropped.
 const LINK_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// How long a connected VM may send no whole report before its connection is closed.
--- a/crates/entry/src/process/quotas.rs
+++ b/crates/entry/src/process/quotas.rs
@@ -72,6 +72,8 @@
     reported: FastMap<WorkspaceId, Tokens>,
     /// When all workspaces were last reported.
     last_full: Duration,
+    /// When the spending of floors was last reported.
+    last_floors: Duration,
     /// Whether floors were restored, or a leader can grant tokens of every workspace.
     can_grant: bool,
     /// What the lease's row records as spent of the floors by the former process, and when.
@@ -83,6 +85,9 @@
 /// How often all workspaces are reported, including unchanged ones, whose ceilings would otherwise
 /// expire.
 const FULL_REPORT_INTERVAL: Duration = Duration::from_secs(2);
+/// How often the spending of floors is reported: a new process assumes the most that can be spent
+/// since the last report.
+const FLOOR_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// When callers that a closed process refuses may retry; another VM serves the retry.
 const CLOSED_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// The number of VMs assumed to share a retry budget until the leader tells the number.
@@ -134,6 +139,7 @@
             vms: DEFAULT_VMS,
             reported: FastMap::default(),
             last_full: Duration::ZERO,
+            last_floors: Duration::ZERO,
             can_grant: false,
             former: None,
             closed: false,
@@ -332,18 +338,21 @@
         }
     }
 
-    /// Returns what was spent of the floors within the quota window.
+    /// Returns what was spent of the floors within the quota window, for a report to the leader.
     ///
-    /// Empty if the VM has no floors, or does not know yet what its former process spent: an empty
+    /// Empty if the last such report was made shortly before, or if the VM has no floors, or does not know yet what its former process spent: an empty
     /// report leaves the leader's record of the former process as it is.
     pub(crate) fn floor_spends(&self) -> Vec<FloorSpend> {
         let now = boot_now();
-        let state = self.state();
+        let mut state = self.state();
+        let due = state.closed || now >= state.last_floors + FLOOR_REPORT_INTERVAL;
         if state.floor_weight == 0
+            || !due
             || !state.spenders.values().all(|spender| spender.is_floor_known(now))
         {
             return Vec::new();
         }
+        state.last_floors = now;
         let spends = state.spenders.iter().map(|(name, spender)| FloorSpend {
             workspace: name.to_string(),
             parts: spender.floor_parts(now),
