Bound the leader's work by endpoint

Change: at most 64 reports at a time, on connections that are closed; the list's changes are found by version; a plan works out costs once for each endpoint and takes the 96 most urgent models. Not measured by itself.

--- a/crates/decide/src/process/placement/service.rs
+++ b/crates/decide/src/process/placement/service.rs
@@ -61,6 +61,10 @@
 /// Time constant with which the demand level falls, in seconds.
 const SMOOTHING_SECONDS: f64 = 0.8;
 
+/// The most models that one plan adds replicas of, the most urgent first: a plan for hundreds of
+/// endpoints must not hold up the leader.
+const MAX_PLANNED_MODELS: usize = 96;
+
 /// An adapter, identified by its model and its name.
 pub type AdapterKey = (ModelId, AdapterId);
 
@@ -270,6 +274,8 @@
             }
         }
         lacking.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+        lacking.truncate(MAX_PLANNED_MODELS);
+        let mut hosts = HostCosts::new(endpoints, &self.clearing);
         let mut store_loads = self.count_store_loads(endpoints);
         for (_, model) in lacking {
             let spec = &engine.models[&model];
@@ -277,9 +283,15 @@
             let max_loads =
                 (engine.load_rate * spec.load_time.as_secs_f64()).ceil().max(1.0) as usize;
             let allow_store = store_loads < max_loads && limiter.has_room(now);
-            let Some((index, victim)) =
-                self.choose_endpoint(&model, engine, endpoints, &replicas, allow_store, now)
-            else {
+            let Some((index, victim)) = self.choose_endpoint(
+                &model,
+                engine,
+                endpoints,
+                &replicas,
+                &mut hosts,
+                allow_store,
+                now,
+            ) else {
                 continue;
             };
             let cached = endpoints[index].cached.contains(&model);
@@ -356,29 +368,30 @@
         engine: &FleetEngine,
         endpoints: &[EndpointView],
         replicas: &FastMap<ModelId, usize>,
+        hosts: &mut HostCosts,
         allow_store: bool,
         now: Duration,
     ) -> Option<(usize, Option<ModelId>)> {
         let spec = engine.models.get(model)?;
         let mut domain_replicas: FastMap<&DomainId, usize> = FastMap::default();
-        for endpoint in endpoints.iter().filter(|endpoint| endpoint.holds_model(model)) {
-            *domain_replicas.entry(&endpoint.domain).or_default() += 1;
+        for index in hosts.holders.get(model).into_iter().flatten() {
+            *domain_replicas.entry(&endpoints[*index].domain).or_default() += 1;
         }
         let mut best: Option<(f64, usize, Option<ModelId>)> = None;
-        for (index, endpoint) in endpoints.iter().enumerate() {
-            let cleared = self.clearing.contains_key(&endpoint.name);
-            if !endpoint.idle
-                || cleared
-                || endpoint.holds_model(model)
-                || endpoint.late_loads.contains(model)
+        for index in &hosts.idle {
+            let (index, endpoint) = (*index, &endpoints[*index]);
+            if !endpoint.idle || endpoint.holds_model(model) || endpoint.late_loads.contains(model)
             {
                 continue;
             }
             if !allow_store && !endpoint.cached.contains(model) {
                 continue;
             }
-            let free = engine.memory - endpoint.charged_memory(engine);
-            let mut cost = self.utilization(endpoint, engine, replicas);
+            let (utilization, charged) = *hosts.costs[index].get_or_insert_with(|| {
+                (self.utilization(endpoint, engine, replicas), endpoint.charged_memory(engine))
+            });
+            let free = engine.memory - charged;
+            let mut cost = utilization;
             cost += domain_replicas.get(&endpoint.domain).copied().unwrap_or(0) as f64
                 * SAME_DOMAIN_COST;
             if !endpoint.cached.contains(model) {
@@ -557,6 +570,35 @@
     }
 }
 
+/// What one plan works out once for each endpoint.
+struct HostCosts {
+    /// The endpoints that hold or load each model.
+    holders: FastMap<ModelId, Vec<usize>>,
+    /// The endpoints that may get an order when the plan begins.
+    idle: Vec<usize>,
+    /// The utilization of each endpoint and the memory that is charged there, once known.
+    costs: Vec<Option<(f64, f64)>>,
+}
+
+impl HostCosts {
+    fn new(
+        endpoints: &[EndpointView],
+        clearing: &FastMap<EndpointId, (ModelId, Duration)>,
+    ) -> Self {
+        let mut holders: FastMap<ModelId, Vec<usize>> = FastMap::default();
+        let mut idle = Vec::new();
+        for (index, endpoint) in endpoints.iter().enumerate() {
+            for model in endpoint.resident.keys().chain(&endpoint.loading_model) {
+                holders.entry(model.clone()).or_default().push(index);
+            }
+            if endpoint.idle && !clearing.contains_key(&endpoint.name) {
+                idle.push(index);
+            }
+        }
+        Self { holders, idle, costs: vec![None; endpoints.len()] }
+    }
+}
+
 /// Counts the replicas of each model, including those being loaded.
 fn count_replicas(endpoints: &[EndpointView]) -> FastMap<ModelId, usize> {
     let mut replicas: FastMap<ModelId, usize> = FastMap::default();
--- a/crates/entry/src/process/coordinator/lease.rs
+++ b/crates/entry/src/process/coordinator/lease.rs
@@ -363,6 +363,7 @@
             last_renewal: now,
             row_version: 0,
             config_version: 0,
+            open_reports: 0,
         };
         self.leadership = Some(leadership);
         self.handles.leader.send_replace(None);
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -187,6 +187,8 @@
     row_version: StoreVersion,
     /// The version of the configuration that was applied last; 0 before the first.
     config_version: u64,
+    /// How many reports of endpoints are being read.
+    open_reports: usize,
 }
 
 impl Coordinator {
@@ -291,8 +293,10 @@
             }
             CoordinatorEvent::EndpointReported(name, report) => {
                 if let Some(leadership) = &mut self.leadership {
+                    leadership.open_reports = leadership.open_reports.saturating_sub(1);
                     leadership.placement.on_report(&name, report, now);
                 }
+                self.request_reports(now);
                 self.plan_orders(now);
             }
             CoordinatorEvent::Leave => self.leave(),
--- a/crates/entry/src/process/coordinator/orders.rs
+++ b/crates/entry/src/process/coordinator/orders.rs
@@ -16,6 +16,8 @@
 pub(super) const ENDPOINT_TIMEOUT: Duration = Duration::from_millis(700);
 /// The remaining term of the lease that sending an order requires.
 pub(super) const MIN_ORDER_TERM: Duration = Duration::from_millis(200);
+/// The most reports of endpoints that are read at the same time; a new leader needs all of them.
+const MAX_OPEN_REPORTS: usize = 64;
 /// The largest body that is read from an endpoint, in bytes.
 const MAX_REPORT_BYTES: usize = 1 << 20;
 
@@ -61,8 +63,10 @@
     /// Requests the reports that the placement needs; each arrives as an event.
     pub(super) fn request_reports(&mut self, now: Duration) {
         let Some(leadership) = &mut self.leadership else { return };
-        for name in leadership.placement.take_report_requests(now) {
+        let limit = MAX_OPEN_REPORTS.saturating_sub(leadership.open_reports);
+        for name in leadership.placement.take_report_requests(limit, now) {
             let Some(listed) = leadership.placement.endpoint(&name) else { continue };
+            leadership.open_reports += 1;
             let address = listed.address;
             let (pool, protocol) = (self.handles.pool.clone(), self.handles.protocol.clone());
             let events = self.handles.events.clone();
@@ -115,7 +119,6 @@
             .read_body(response.into_body(), MAX_REPORT_BYTES)
             .await
             .map_err(|error| format!("{error:?}"))?;
-        connection.keep(None);
         if status != 200 {
             return Err(format!("status {status}"));
         }
--- a/crates/entry/src/process/coordinator/placement.rs
+++ b/crates/entry/src/process/coordinator/placement.rs
@@ -109,10 +109,13 @@
         }
     }
 
-    /// Returns the endpoints whose report is needed, and counts each as requested.
-    pub(crate) fn take_report_requests(&mut self, now: Duration) -> Vec<EndpointId> {
+    /// Returns at most `limit` endpoints whose report is needed, and counts each as requested.
+    pub(crate) fn take_report_requests(&mut self, limit: usize, now: Duration) -> Vec<EndpointId> {
         let mut names = Vec::new();
         for (name, (tracker, _)) in &mut self.trackers {
+            if names.len() >= limit {
+                break;
+            }
             tracker.check_overdue(now);
             if tracker.needs_report(now) {
                 tracker.on_report_requested(now);
--- a/crates/entry/src/process/endpoint_list.rs
+++ b/crates/entry/src/process/endpoint_list.rs
@@ -1,5 +1,6 @@
 //! The platform's list of endpoints, read from the store or relayed by the leader.
 
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -46,10 +47,22 @@
     relayed_until: Duration,
     /// The row's version at each endpoint's last change that the leader must relay.
     relays: FastMap<EndpointId, StoreVersion>,
-    /// When each removed endpoint was removed.
+    /// The same, in the order of versions.
+    relay_order: BTreeSet<(StoreVersion, EndpointId)>,
+    /// When each endpoint that vanished of late was removed.
     removed: FastMap<EndpointId, Duration>,
 }
 
+impl State {
+    /// Records an endpoint's change that the leader must relay.
+    fn relay(&mut self, name: &EndpointId, version: StoreVersion) {
+        if let Some(former) = self.relays.insert(name.clone(), version) {
+            self.relay_order.remove(&(former, name.clone()));
+        }
+        self.relay_order.insert((version, name.clone()));
+    }
+}
+
 /// How long after the leader's last message a VM relies on the leader for changes.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How long the leader relays a removal to every VM, including those that know a newer version.
@@ -86,14 +99,17 @@
     /// names of all listed endpoints, since endpoints may have been removed in between.
     pub(crate) fn changes_after(&self, version: StoreVersion) -> ListUpdate {
         let now = boot_now();
-        let state = self.state();
-        let relayed = |name: &EndpointId| match state.removed.get(name) {
-            Some(at) => now < *at + REMOVAL_RELAY_TIME,
-            None => state.relays.get(name).is_some_and(|relay| *relay > version),
-        };
-        let rows = state.rows.iter().filter(|(name, _)| relayed(name)).map(|(_, row)| row.clone());
-        let changes =
-            StoreRows { rows: rows.collect(), version: state.version, ..StoreRows::default() };
+        let mut state = self.state();
+        state.removed.retain(|_, at| now < *at + REMOVAL_RELAY_TIME);
+        let changed = state.relay_order.range((version + 1, EndpointId::default())..);
+        let changed = changed.map(|(_, name)| name);
+        // A vanished endpoint's row counts only once the endpoint has been removed.
+        let has_value =
+            |name: &&EndpointId| state.rows.get(*name).is_some_and(|row| row.value.is_some());
+        let listed = changed.filter(has_value);
+        let names = listed.chain(state.removed.keys());
+        let rows: Vec<StoreRow> = names.filter_map(|name| state.rows.get(name).cloned()).collect();
+        let changes = StoreRows { rows, version: state.version, ..StoreRows::default() };
         let is_older = state.first_version.is_some_and(|first| version < first);
         let live = is_older.then(|| state.endpoints.keys().cloned().collect());
         ListUpdate { changes, live }
@@ -235,7 +251,7 @@
                         "an endpoint is listed");
                 }
                 if changed {
-                    state.relays.insert(name.clone(), row.version);
+                    state.relay(&name, row.version);
                 }
                 state.removed.remove(&name);
                 state.endpoints.insert(name.clone(), listed.clone());
@@ -245,7 +261,7 @@
             }
             Err(why) => {
                 let known = state.endpoints.remove(&name).is_some();
-                state.relays.insert(name.clone(), row.version);
+                state.relay(&name, row.version);
                 drop(state);
                 warn!(endpoint = name.as_str(), row = row.version, known, why:%;
                     "an endpoint's entry cannot be read; the endpoint is not used");
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -490,7 +490,7 @@
             };
             self.active_fleet.offer(&row, "another VM");
         }
-        if !message.rows.is_empty() || message.whole {
+        if message.listed > 0 {
             let rows = message.rows.iter().map(|row| StoreRow {
                 key: row.key.as_str().into(),
                 value: (!row.removed).then(|| row.value.clone().into()),
