Remove the fleet sizes at which limits switched

With relays the VMs that hold tokens are few, so floors no longer end at 120 VMs, nor their record in the lease's row at 20; the reserve between two records grows evenly from 20 to 40 VMs. A row that would be too long leaves out the spending of floors last. Not measured by itself.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -34,7 +34,7 @@
 pub use error::{ErrorKind, ErrorResponse, Refusal, RunStatus};
 pub use ids::*;
 pub use map::{FastMap, FastSet, hash_of, rendezvous_score};
-pub use process::allowance::floors::{FLOOR_TERM, FloorHistory, Floors, MAX_RECORDED_VMS};
+pub use process::allowance::floors::{FLOOR_TERM, FloorHistory, Floors};
 pub use process::allowance::pool::{Ceiling, PoolRecord, PoolUsage, TokenPool, UnreportedSpend};
 pub use process::allowance::spender::{
     Admission, AdmitError, FormerFloor, SpendReport, TokenSpender,
--- a/crates/decide/src/process/allowance/floors.rs
+++ b/crates/decide/src/process/allowance/floors.rs
@@ -19,12 +19,6 @@
 /// How much longer than [`FLOOR_TERM`] and the window the leader waits before it gives the floor of
 /// a silent VM to others.
 const FLOOR_MARGIN: Duration = Duration::from_secs(2);
-/// The number of VMs up to which floors are added and raised; with more VMs, the floors of a small
-/// workspace would be too small for a request.
-const MAX_FLOOR_VMS: usize = 120;
-/// The most VMs whose spending of floors is recorded, since one row holds all of it; with more, a
-/// restarted VM goes without its floor for one window.
-pub const MAX_RECORDED_VMS: usize = 20;
 /// The least number of equal parts into which all floors are divided for VMs without a floor, of
 /// which each gets one part: enough for the VMs of a usual fleet and those that may be added.
 const MIN_INITIAL_PARTS: u64 = 12;
@@ -138,8 +132,7 @@
 
     /// Returns whether a VM that has reported has no floor yet and may get one.
     pub fn has_newcomer(&self) -> bool {
-        self.demands.len() <= MAX_FLOOR_VMS
-            && self.demands.keys().any(|vm| !self.weights.contains_key(vm))
+        self.demands.keys().any(|vm| !self.weights.contains_key(vm))
     }
 
     /// Returns how many VMs have reported within a time; at least 1.
@@ -150,7 +143,7 @@
     /// Returns the weights to record next, in millionths.
     ///
     /// Silent VMs lose their floor, new VMs get their first floor, and the floors of others are
-    /// raised by demand. With more VMs than `MAX_FLOOR_VMS`, no floor is added or raised.
+    /// raised by demand.
     pub fn next_weights(&mut self, window: Duration, now: Duration) -> BTreeMap<VmId, u64> {
         let timeout = FLOOR_TERM + FLOOR_MARGIN + window;
         self.demands.retain(|_, demand| now < demand.reported + timeout);
@@ -158,9 +151,6 @@
         weights.retain(|vm, _| self.demands.contains_key(vm));
         let newcomers: Vec<&VmId> =
             self.demands.keys().filter(|vm| !weights.contains_key(*vm)).collect();
-        if weights.len() + newcomers.len() > MAX_FLOOR_VMS {
-            return weights;
-        }
         let known = (weights.len() + newcomers.len()) as u64;
         let part = PARTS_PER_MILLION / MIN_INITIAL_PARTS.max(known * INITIAL_PARTS_PERCENT / 100);
         for vm in newcomers {
--- a/crates/decide/src/process/allowance/pool.rs
+++ b/crates/decide/src/process/allowance/pool.rs
@@ -5,6 +5,7 @@
 //! that have not reported to it, and continues from the record without waiting for a whole window.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -40,15 +41,11 @@
 const TOTAL_HEADROOM_DIVISOR: Tokens = 40;
 /// The most VMs that the free part of the pool is divided between when a VM asks.
 const MAX_SHARERS: u64 = 5;
-/// The pool divided by this is what all VMs together may be granted between two records beyond
-/// their headroom.
-const RESERVE_DIVISOR: Tokens = 24;
-/// The same for more than [`MANY_VMS`] VMs. There each VM asks for single requests, which its
-/// demand of the last second does not predict; all VMs together ask for an eighth of the pool per
-/// second, of which their headroom covers a part.
-const MANY_VMS_RESERVE_DIVISOR: Tokens = 12;
-/// The most VMs whose demand of the last second predicts their demand of the next second.
-const MANY_VMS: usize = 20;
+/// The pool divided by this is what each VM adds to what all VMs together may be granted between two
+/// records beyond their headroom: the more VMs, the less their demand of the last second predicts.
+const VM_RESERVE_DIVISOR: Tokens = 480;
+/// The least and the most VMs that count for this.
+const RESERVE_VMS: RangeInclusive<u64> = 20..=40;
 /// The name under which tokens are recorded that any VM may have spent.
 const ANY_VM: &str = "";
 
@@ -248,9 +245,8 @@
             state.next_ceiling = state.ceiling + if state.expired { 0 } else { headroom };
             open.insert(vm.clone(), state.next_ceiling - state.spent);
         }
-        let divisor =
-            if self.vms.len() > MANY_VMS { MANY_VMS_RESERVE_DIVISOR } else { RESERVE_DIVISOR };
-        self.next_reserve = self.size / divisor;
+        let vms = (self.vms.len() as u64).clamp(*RESERVE_VMS.start(), *RESERVE_VMS.end());
+        self.next_reserve = self.size * vms / VM_RESERVE_DIVISOR;
         self.proposed = true;
         let used = self.used.parts(self.part, HISTORY_PARTS, now);
         PoolRecord { used, open, reserve: self.next_reserve, unheard }
--- a/crates/entry/src/process/coordinator/row.rs
+++ b/crates/entry/src/process/coordinator/row.rs
@@ -82,7 +82,9 @@
 impl LeaderRow {
     /// Returns the row's JSON, which takes at most `limit` bytes.
     ///
-    /// If the full row is longer, each pool's entries of single VMs are merged into one sum.
+    /// If the full row is longer, each pool's entries of single VMs are merged into one sum. If even
+    /// that is longer, the spending of floors is left out: a restarted VM goes without its floor for
+    /// one window.
     ///
     /// ```
     /// use bamboocourse_decide::LeaseRow;
@@ -112,7 +114,11 @@
         }
         let mut folded = self.clone();
         folded.pools.values_mut().for_each(PoolRecord::fold);
-        let bytes = folded.pack()?;
+        let mut bytes = folded.pack()?;
+        if bytes.len() > limit {
+            folded.past.clear();
+            bytes = folded.pack()?;
+        }
         if bytes.len() > limit {
             return Err(format!("the row takes {} bytes, the limit is {limit}", bytes.len()));
         }
--- a/crates/entry/src/process/coordinator/tokens.rs
+++ b/crates/entry/src/process/coordinator/tokens.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    FastMap, FleetConfig, FloorHistory, Floors, Incarnation, Limit, MAX_RECORDED_VMS, PoolRecord,
-    SpendReport, TokenPool, VmId, WorkspaceId,
+    FastMap, FleetConfig, FloorHistory, Floors, Incarnation, Limit, PoolRecord, SpendReport,
+    TokenPool, VmId, WorkspaceId,
 };
 use log::info;
 
@@ -110,17 +110,13 @@
         }
     }
 
-    /// Returns what each VM's process spent of its floors, for the store; empty if there are more
-    /// than [`MAX_RECORDED_VMS`].
+    /// Returns what each relay's process spent of its floors, for the store.
     ///
     /// `to_store_time` converts this VM's boot clock to the store's, in milliseconds.
     pub(crate) fn floor_histories(
         &self,
         to_store_time: impl Fn(Duration) -> u64,
     ) -> BTreeMap<VmId, FloorHistory> {
-        if self.histories.len() > MAX_RECORDED_VMS {
-            return BTreeMap::new();
-        }
         let histories = self.histories.iter().map(|(vm, (_, at, history))| {
             (vm.clone(), FloorHistory { at: to_store_time(*at), ..history.clone() })
         });
