--- a/crates/entry/src/process/active_fleet.rs
+++ b/crates/entry/src/process/active_fleet.rs
@@ -1,25 +1,42 @@
 //! The configuration in force, and the config row of the store that it was read from.
 
+use std::io::Read;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bamboocourse_decide::FleetConfig;
-use log::{error, info};
+use flate2::Compression;
+use flate2::read::{DeflateDecoder, DeflateEncoder};
+use log::{error, info, warn};
 use tokio::sync::watch;
 
 use crate::edge::{Protocol, StoreRow, StoreVersion};
 use crate::process::quotas::Quotas;
 
+/// The key of the config row among the rows that VMs send each other.
+const CONFIG_KEY: &str = "config";
+
 /// The configuration in force, which is only ever replaced by a newer one.
 pub(crate) struct ActiveFleet {
     protocol: Arc<dyn Protocol>,
     quotas: Arc<Quotas>,
     fleet: watch::Sender<Option<Arc<FleetConfig>>>,
     row: Mutex<Option<StoreRow>>,
+    /// The config row as other VMs get it, with its version; made when a VM first needs it.
+    packed: Mutex<(StoreVersion, Vec<u8>)>,
 }
 
+/// The largest config row that another VM may send, in bytes.
+const MAX_ROW_BYTES: u64 = 8 << 20;
+
 impl ActiveFleet {
     pub(crate) fn new(protocol: Arc<dyn Protocol>, quotas: Arc<Quotas>) -> Self {
-        Self { protocol, quotas, fleet: watch::Sender::new(None), row: Mutex::default() }
+        Self {
+            protocol,
+            quotas,
+            fleet: watch::Sender::new(None),
+            row: Mutex::default(),
+            packed: Mutex::default(),
+        }
     }
 
     /// Returns the configuration in force; `None` before the first.
@@ -27,9 +44,36 @@
         self.fleet.borrow().clone()
     }
 
-    /// Returns the config row that the configuration in force was read from.
-    pub(crate) fn row(&self) -> Option<StoreRow> {
-        self.row.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    /// Returns the config row that the configuration in force was read from, deflated for another
+    /// VM; empty before the first configuration.
+    ///
+    /// Rows are large and much alike, and every VM of a domain gets them through its relays' links.
+    pub(crate) fn packed_row(&self) -> Vec<u8> {
+        let row = self.row.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let Some(StoreRow { value: Some(value), version, .. }) = row else { return Vec::new() };
+        let mut packed = self.packed.lock().unwrap_or_else(PoisonError::into_inner);
+        if packed.0 != version {
+            let mut encoder = DeflateEncoder::new(&value[..], Compression::fast());
+            let mut bytes = Vec::new();
+            if let Err(error) = encoder.read_to_end(&mut bytes) {
+                warn!(row = version, error:%; "a config row cannot be packed for other VMs");
+                return Vec::new();
+            }
+            *packed = (version, bytes);
+        }
+        packed.1.clone()
+    }
+
+    /// Applies a packed config row that another VM sent; returns whether it is in force now.
+    pub(crate) fn offer_packed(&self, packed: &[u8], version: StoreVersion) -> bool {
+        let mut value = Vec::new();
+        let mut decoder = DeflateDecoder::new(packed).take(MAX_ROW_BYTES);
+        if let Err(error) = decoder.read_to_end(&mut value) {
+            warn!(row = version, error:%; "a config row of another VM cannot be unpacked");
+            return false;
+        }
+        let row = StoreRow { key: CONFIG_KEY.into(), value: Some(value.into()), version };
+        self.offer(&row, "another VM")
     }
 
     /// Returns the config row's version in the store; 0 before the first.
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -26,7 +26,7 @@
 
 use crate::edge::clock::boot_now;
 use crate::edge::pool::Pool;
-use crate::edge::{Protocol, Store, StoreError, StoreRow, StoreRows, StoreVersion, WriteOutcome};
+use crate::edge::{Protocol, Store, StoreError, StoreRows, StoreVersion, WriteOutcome};
 use crate::process::active_fleet::ActiveFleet;
 use crate::process::endpoint_list::{EndpointList, ListUpdate};
 use crate::process::metrics::Metrics;
@@ -159,6 +159,9 @@
     position: Option<Position>,
     /// The last change of what endpoints hold that the VM was told.
     told: NewsNumber,
+    /// The versions of the config row and of the list that the VM knows or was sent.
+    config: StoreVersion,
+    listed: StoreVersion,
     /// Until when the VM is told changes at once, as its callers lack a model or an adapter.
     waits_until: Duration,
 }
@@ -239,7 +242,9 @@
             CoordinatorEvent::Status(peer, status) => self.on_status(peer, status, now),
             CoordinatorEvent::PeerConnected(peer, sender) => {
                 let waits_until = Duration::ZERO;
-                self.peers.insert(peer, Peer { sender, position: None, told: 0, waits_until });
+                let (told, config, listed) = (0, 0, 0);
+                let peer_state = Peer { sender, position: None, told, config, listed, waits_until };
+                self.peers.insert(peer, peer_state);
             }
             CoordinatorEvent::PeerDisconnected(peer) => {
                 self.peers.remove(&peer);
@@ -397,7 +402,7 @@
     /// Answers a VM that reports to this relay.
     fn answer_member(&mut self, peer: PeerId, status: &Status, now: Duration) -> LeadMessage {
         let lacks = self.handles.scheduler.on_member(status);
-        let mut reply = self.store_updates(status);
+        let mut reply = self.store_updates(peer, status);
         reply.role = Role::Relay.into();
         reply.sent = status.sent;
         reply.vms = self.handles.quotas.vms() as u32;
@@ -429,15 +434,10 @@
     /// Answers a relay, as the leader; a VM that does not lead replies with fence 0.
     fn answer_relay(&mut self, peer: PeerId, status: &Status, now: Duration) -> LeadMessage {
         if !status.config_row.is_empty() {
-            let row = StoreRow {
-                key: "config".into(),
-                value: Some(status.config_row.clone().into()),
-                version: status.config,
-            };
-            self.handles.active_fleet.offer(&row, "another VM");
+            self.handles.active_fleet.offer_packed(&status.config_row, status.config);
         }
         self.apply_config(now);
-        let mut reply = self.store_updates(status);
+        let mut reply = self.store_updates(peer, status);
         let Some(leadership) = &mut self.leadership else { return reply };
         let vm = VmId::new(&status.vm);
         if let Some(relay) = reporting_vm(status) {
@@ -468,20 +468,25 @@
         reply
     }
 
-    /// Returns a message with the configuration and the endpoint rows that a VM does not know yet.
-    fn store_updates(&self, status: &Status) -> LeadMessage {
+    /// Returns a message with the configuration and the endpoint rows that a VM does not know yet
+    /// and was not sent on this connection.
+    fn store_updates(&mut self, id: PeerId, status: &Status) -> LeadMessage {
         let mut updates =
             LeadMessage { config: self.handles.active_fleet.row_version(), ..Default::default() };
-        if status.config < updates.config
-            && let Some(row) = self.handles.active_fleet.row()
-        {
-            updates.config_row = row.value.unwrap_or_default().to_vec();
+        let Some(peer) = self.peers.get_mut(&id) else { return updates };
+        peer.config = peer.config.max(status.config);
+        peer.listed = peer.listed.max(status.listed);
+        let (config, listed) = (peer.config, peer.listed);
+        if config < updates.config {
+            updates.config_row = self.handles.active_fleet.packed_row();
+            peer.config = updates.config;
         }
-        let ListUpdate { changes, live } = self.handles.endpoint_list.changes_after(status.listed);
+        let ListUpdate { changes, live } = self.handles.endpoint_list.changes_after(listed);
+        peer.listed = listed.max(changes.version);
         updates.listed = changes.version;
         updates.whole = live.is_some();
         updates.live = live.into_iter().flatten().map(Into::into).collect();
-        if status.listed < changes.version {
+        if listed < changes.version || !changes.rows.is_empty() {
             let rows = changes.rows.into_iter().map(|row| ListRow {
                 key: row.key.to_string(),
                 version: row.version,
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -465,9 +465,9 @@
         if position == Position::Member {
             return status;
         }
-        let row = self.active_fleet.row().filter(|row| row.version > known);
+        let is_newer = self.active_fleet.row_version() > known;
         Status {
-            config_row: row.and_then(|row| row.value).unwrap_or_default().to_vec(),
+            config_row: if is_newer { self.active_fleet.packed_row() } else { Vec::new() },
             members: self.scheduler.members() as u32,
             asked: self.quotas.asked_tokens(),
             spends: self.quotas.spend_reports(full),
@@ -483,12 +483,7 @@
             self.roster.update(&read_roster(roster));
         }
         if !message.config_row.is_empty() {
-            let row = StoreRow {
-                key: "config".into(),
-                value: Some(message.config_row.clone().into()),
-                version: message.config,
-            };
-            self.active_fleet.offer(&row, "another VM");
+            self.active_fleet.offer_packed(&message.config_row, message.config);
         }
         if message.listed > 0 {
             let rows = message.rows.iter().map(|row| StoreRow {
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -39,7 +39,7 @@
     /// The version of the sender's config row in the store; 0 if the sender has no configuration.
     #[prost(uint64, tag = "5")]
     pub config: u64,
-    /// The sender's config row as stored; empty unless it is newer than the leader's.
+    /// The sender's config row as stored, deflated; empty unless it is newer than the leader's.
     #[prost(bytes = "vec", tag = "6")]
     pub config_row: ::prost::alloc::vec::Vec<u8>,
     /// The sender's open and waiting requests for each model.
@@ -189,7 +189,7 @@
     /// this is not a reply.
     #[prost(uint64, tag = "7")]
     pub config: u64,
-    /// The sender's config row as stored; empty unless it is newer than the receiver's.
+    /// The sender's config row as stored, deflated; empty unless it is newer than the receiver's.
     #[prost(bytes = "vec", tag = "8")]
     pub config_row: ::prost::alloc::vec::Vec<u8>,
     /// The rows of the list of endpoints that the receiver does not know.
