Wait for adapters in use, and pass over reports that may predate an order

Reports show some hundred ms ago, and nothing kept one that was requested right after an order was accepted from replacing what the order had changed.

Tests: two of tests/tracker.rs; the first fails before.

--- a/crates/decide/src/process/placement/tracker.rs
+++ b/crates/decide/src/process/placement/tracker.rs
@@ -102,6 +102,8 @@
     down: bool,
     /// When a report is needed; `None` if none is.
     report_due: Option<Duration>,
+    /// When an order was last accepted or ended.
+    changed: Duration,
 }
 
 /// An order that was begun and whose end is not known.
@@ -146,6 +148,7 @@
             late_orders: Vec::new(),
             down: false,
             report_due: Some(now),
+            changed: Duration::ZERO,
         }
     }
 
@@ -199,6 +202,17 @@
         self.report_due.is_some_and(|at| now >= at)
     }
 
+    /// Returns whether a report that was requested at a time may show the endpoint as it was before
+    /// its last order was accepted or ended.
+    pub fn may_predate_order(&self, requested: Duration) -> bool {
+        self.changed > Duration::ZERO && requested < self.changed + MAX_REPORT_AGE
+    }
+
+    /// Requests a report that cannot predate the last order.
+    pub fn retry_report(&mut self) {
+        self.report_due = Some(self.changed + MAX_REPORT_AGE);
+    }
+
     /// Returns the models that orders without a reply may still load.
     pub fn late_loads(&self, now: Duration) -> impl Iterator<Item = &ModelId> {
         let live = self.late_orders.iter().filter(move |late| now < late.until);
@@ -271,6 +285,7 @@
         let Some(pending) = self.pending.as_mut().filter(is_pending) else { return false };
         match reply {
             OrderReply::Accepted | OrderReply::Holds => {
+                self.changed = now;
                 if !std::mem::replace(&mut pending.accepted, true) {
                     self.count_accepted(reply);
                 }
@@ -364,6 +379,7 @@
             OrderCommand::Fetch(..) | OrderCommand::Release(..) => false,
         };
         if ended {
+            self.changed = now;
             self.complete_order();
         }
         ended
@@ -440,7 +456,11 @@
     fn apply_reply(&mut self, reply: OrderReply, now: Duration) -> bool {
         let Some(pending) = &self.pending else { return false };
         match (&pending.command, reply) {
-            (OrderCommand::Load(_) | OrderCommand::Unload(_), OrderReply::Accepted) => true,
+            // A release that is accepted, not carried out at once, waits for the adapter's requests.
+            (
+                OrderCommand::Load(_) | OrderCommand::Unload(_) | OrderCommand::Release(..),
+                OrderReply::Accepted,
+            ) => true,
             (OrderCommand::Load(_), OrderReply::Holds) => {
                 // The endpoint holds a model that its last report did not show, so a new report is
                 // needed.
--- a/crates/decide/tests/tracker.rs
+++ b/crates/decide/tests/tracker.rs
@@ -388,6 +388,38 @@
     assert_eq!(third.map(|order| order.number), Some(3));
 }
 
+/// An endpoint accepts the release of an adapter that requests still use, and holds it until they
+/// end.
+///
+/// Guards against the next adapter being ordered while the former one still takes its place.
+#[test]
+fn release_of_an_adapter_in_use_ends_with_a_report() {
+    let now = Duration::from_secs(60);
+    let mut tracker = EndpointTracker::new(1, now);
+    tracker.on_report(idle_report(1, 5, 1), now);
+    let release = OrderCommand::Release(model(0), "a1".into());
+    let order = tracker.begin_order(release, LOAD_TIME, now).expect("idle");
+    tracker.on_reply(order, OrderReply::Accepted, now);
+    assert!(!tracker.is_idle(), "the adapter is still held");
+    tracker.on_report(idle_report(1, 6, 1), now + MAX_REPORT_AGE);
+    assert!(tracker.is_idle());
+}
+
+/// A report is requested right after an order was accepted; it may show a time before.
+#[test]
+fn report_requested_right_after_an_order_may_predate_it() {
+    let now = Duration::from_secs(60);
+    let mut tracker = EndpointTracker::new(1, now);
+    assert!(!tracker.may_predate_order(now), "there was no order");
+    tracker.on_report(idle_report(1, 5, 1), now);
+    let order = tracker.begin_order(OrderCommand::Load(model(5)), LOAD_TIME, now).expect("idle");
+    tracker.on_reply(order, OrderReply::Accepted, now);
+    assert!(tracker.may_predate_order(now + MAX_REPORT_AGE / 2));
+    assert!(!tracker.may_predate_order(now + MAX_REPORT_AGE));
+    tracker.retry_report();
+    assert!(tracker.needs_report(now + MAX_REPORT_AGE));
+}
+
 /// An entry of the list from before a model's load arrives while the model is being unloaded.
 #[test]
 fn old_entry_does_not_end_an_unload() {
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -88,8 +88,9 @@
     LeaseWritten(Box<LeaderRow>, Result<WriteOutcome, StoreError>),
     /// An endpoint replied to an order that was sent under a fence, or the order failed.
     OrderReplied(Fence, Box<IssuedOrder>, OrderReply),
-    /// An endpoint sent its report; `None` means that the endpoint did not report in time.
-    EndpointReported(EndpointId, Option<EndpointReport>),
+    /// An endpoint sent the report that was requested at a time; `None` means that it did not report
+    /// in time.
+    EndpointReported(EndpointId, Duration, Option<EndpointReport>),
     /// The process leaves service.
     Leave,
 }
@@ -296,10 +297,10 @@
                 }
                 self.plan_orders(now);
             }
-            CoordinatorEvent::EndpointReported(name, report) => {
+            CoordinatorEvent::EndpointReported(name, requested, report) => {
                 if let Some(leadership) = &mut self.leadership {
                     leadership.open_reports = leadership.open_reports.saturating_sub(1);
-                    leadership.placement.on_report(&name, report, now);
+                    leadership.placement.on_report(&name, requested, report, now);
                 }
                 self.request_reports(now);
                 self.plan_orders(now);
--- a/crates/entry/src/process/coordinator/orders.rs
+++ b/crates/entry/src/process/coordinator/orders.rs
@@ -76,7 +76,7 @@
                     info!(endpoint = name.as_str(), why:%; "an endpoint did not report");
                 }
                 // The receiver is gone only while the process shuts down.
-                let _ = events.send(CoordinatorEvent::EndpointReported(name, report.ok()));
+                let _ = events.send(CoordinatorEvent::EndpointReported(name, now, report.ok()));
             });
         }
     }
--- a/crates/entry/src/process/coordinator/placement.rs
+++ b/crates/entry/src/process/coordinator/placement.rs
@@ -125,15 +125,18 @@
         names
     }
 
-    /// Applies an endpoint's report; `None` means that the endpoint did not report in time.
+    /// Applies the report that was requested of an endpoint at a time; `None` means that the endpoint
+    /// did not report in time.
     pub(crate) fn on_report(
         &mut self,
         name: &EndpointId,
+        requested: Duration,
         report: Option<EndpointReport>,
         now: Duration,
     ) {
         let Some((tracker, _)) = self.trackers.get_mut(name) else { return };
         match report {
+            Some(_) if tracker.may_predate_order(requested) => tracker.retry_report(),
             Some(report) => {
                 if tracker.on_report(report, now) {
                     self.changed.insert(name.clone());
