--- a/crates/decide/src/process/roster.rs
+++ b/crates/decide/src/process/roster.rs
@@ -52,6 +52,9 @@
     pub relays: Vec<Relay>,
     /// The number of relays that each domain should have, if it has as many VMs.
     pub target: usize,
+    /// The leader that made the roster; a relay, too.
+    #[serde(default)]
+    pub leader: VmId,
 }
 
 impl Roster {
@@ -64,6 +67,11 @@
         newer
     }
 
+    /// Returns the leader's address, if the leader is among the relays.
+    pub fn leader_address(&self) -> Option<SocketAddr> {
+        self.relays.iter().find(|relay| relay.vm == self.leader).map(|relay| relay.peer)
+    }
+
     /// Returns whether a domain has fewer relays than it should have.
     pub fn is_short(&self, domain: &str) -> bool {
         self.relays.iter().filter(|relay| relay.domain == domain).count() < self.target
@@ -81,7 +89,7 @@
     ///     peer: "127.0.0.1:7600".parse().expect("an address"),
     /// };
     /// let relays = vec![relay("a", "d1"), relay("b", "d2")];
-    /// let roster = Roster { version: 1, relays, target: 2 };
+    /// let roster = Roster { version: 1, relays, target: 2, leader: "a".into() };
     /// let choices = roster.choices("d2", "c");
     /// assert_eq!(choices.iter().map(|relay| relay.vm.as_str()).collect::<Vec<_>>(), ["b"]);
     /// ```
@@ -97,6 +105,7 @@
 #[derive(Debug, Clone)]
 pub struct RelayAppointer {
     fence: Fence,
+    leader: VmId,
     /// The number of relays that each domain should have.
     target: usize,
     relays: BTreeMap<VmId, KnownRelay>,
@@ -125,21 +134,23 @@
 }
 
 impl RelayAppointer {
-    /// Starts under a fence from the former leader's roster, as if each relay had last reported now.
+    /// Starts for a leader under a fence from the former leader's roster, as if each relay had last
+    /// reported now.
     ///
     /// `domains` is the number of failure domains.
     ///
     /// ```
     /// use bamboocourse_decide::RelayAppointer;
     /// use std::time::Duration;
-    /// let appointer = RelayAppointer::new(1, 3, &Default::default(), Duration::ZERO);
+    /// let appointer = RelayAppointer::new(1, "vm-1".into(), 3, &Default::default(), Duration::ZERO);
     /// assert!(appointer.roster().relays.is_empty());
     /// ```
-    pub fn new(fence: Fence, domains: usize, former: &Roster, now: Duration) -> Self {
+    pub fn new(fence: Fence, leader: VmId, domains: usize, former: &Roster, now: Duration) -> Self {
         let known =
             |relay: &Relay| (relay.vm.clone(), KnownRelay { relay: relay.clone(), heard: now });
         let mut appointer = Self {
             fence,
+            leader,
             target: FLEET_RELAYS.div_ceil(domains.max(1)).max(MIN_DOMAIN_RELAYS),
             relays: former.relays.iter().map(known).collect(),
             candidates: FastMap::default(),
@@ -213,6 +224,7 @@
         }
         self.changes += 1;
         let version = (self.fence << 32) | self.changes;
-        self.roster = Roster { version, relays, target: self.target };
+        let leader = self.leader.clone();
+        self.roster = Roster { version, relays, target: self.target, leader };
     }
 }
--- a/crates/decide/tests/roster.rs
+++ b/crates/decide/tests/roster.rs
@@ -80,7 +80,8 @@
             };
             (name, vm)
         };
-        let leader = RelayAppointer::new(1, domains, &Roster::default(), Duration::ZERO);
+        let leader =
+            RelayAppointer::new(1, "vm-0".into(), domains, &Roster::default(), Duration::ZERO);
         Self { now: 0, vms: (0..size).map(vm).collect(), leader, leader_messages: 0, domains }
     }
 
@@ -347,7 +348,7 @@
     fleet.kill(&all, 500);
     let former = fleet.leader.roster().clone();
     let now = Duration::from_millis(fleet.now);
-    fleet.leader = RelayAppointer::new(2, 5, &former, now);
+    fleet.leader = RelayAppointer::new(2, "vm-1".into(), 5, &former, now);
     fleet.run(500 + 300 + 700);
     let unserved = fleet.unserved_after(600);
     assert!(unserved.is_empty(), "{unserved:?}");
@@ -360,7 +361,7 @@
     let mut fleet = started(295, 5);
     let before: Vec<Vec<VmId>> = (0..5).map(|domain| fleet.relays(&format!("d{domain}"))).collect();
     let now = Duration::from_millis(fleet.now);
-    fleet.leader = RelayAppointer::new(2, 5, &Roster::default(), now);
+    fleet.leader = RelayAppointer::new(2, "vm-1".into(), 5, &Roster::default(), now);
     fleet.run(2_000);
     fleet.assert_served("after a change of leader");
     let after: Vec<Vec<VmId>> = (0..5).map(|domain| fleet.relays(&format!("d{domain}"))).collect();
@@ -430,7 +431,7 @@
                     let former =
                         if knows { fleet.leader.roster().clone() } else { Roster::default() };
                     let now = Duration::from_millis(fleet.now);
-                    fleet.leader = RelayAppointer::new(fence, 5, &former, now);
+                    fleet.leader = RelayAppointer::new(fence, "vm-2".into(), 5, &former, now);
                 }
             }
             fleet.run(pause);
--- a/crates/entry/src/process/coordinator/lease.rs
+++ b/crates/entry/src/process/coordinator/lease.rs
@@ -330,7 +330,8 @@
         };
         let took_over = former.as_ref().map(|_| now);
         let roster = former.as_ref().map(|row| row.roster.clone()).unwrap_or_default();
-        let relays = RelayAppointer::new(fence, settings.domains, &roster, now);
+        let relays =
+            RelayAppointer::new(fence, settings.vm.clone(), settings.domains, &roster, now);
         self.handles.roster.set_position(Position::Relay, "it leads");
         let (noted, pools, floors, past) = former
             .map_or_else(Default::default, |row| (row.noted, row.pools, row.floors, row.past));
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -597,5 +597,6 @@
         peer: relay.peer.to_string(),
     });
     let (version, target) = (roster.version, roster.target as u32);
-    crate::wire::Roster { version, relays: relays.collect(), target }
+    let leader = roster.leader.to_string();
+    crate::wire::Roster { version, relays: relays.collect(), target, leader }
 }
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -253,6 +253,7 @@
             return leader.map_or(Target::Own, |leader| Target::Other(leader, Position::Relay));
         }
         let relays = self.roster.choices();
+        let leader = leader.or_else(|| self.roster.roster().leader_address());
         if let Some(leader) = leader
             && self.roster.is_short()
             && !tried.contains(&leader)
@@ -562,5 +563,6 @@
         Some(Relay { vm: VmId::new(&relay.vm), domain: (&relay.domain).into(), peer })
     });
     let target = roster.target as usize;
-    Roster { version: roster.version, relays: relays.collect(), target }
+    let leader = VmId::new(&roster.leader);
+    Roster { version: roster.version, relays: relays.collect(), target, leader }
 }
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -260,6 +260,9 @@
     /// The number of relays that each domain should have.
     #[prost(uint32, tag = "3")]
     pub target: u32,
+    /// The name of the leader.
+    #[prost(string, tag = "4")]
+    pub leader: ::prost::alloc::string::String,
 }
 /// A VM through which others of its domain reach the leader.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/entry/tests/row.rs
+++ b/crates/entry/tests/row.rs
@@ -38,7 +38,12 @@
         orders_from: 123_456_789,
         past: (0..vms.min(20)).map(|index| (vm(index), past.clone())).collect(),
         floors: (0..vms).map(|index| (vm(index), 4_545)).collect(),
-        roster: Roster { version: 5, relays: (0..vms).map(relay).collect(), target: 3 },
+        roster: Roster {
+            version: 5,
+            relays: (0..vms).map(relay).collect(),
+            target: 3,
+            leader: vm(0),
+        },
     }
 }
 
