--- a/crates/decide/src/process/mod.rs
+++ b/crates/decide/src/process/mod.rs
@@ -6,3 +6,4 @@
 pub(crate) mod placement;
 pub(crate) mod roster;
 pub(crate) mod sliding_window;
+pub(crate) mod store_contact;
--- /dev/null
+++ b/crates/decide/src/process/store_contact.rs
@@ -0,0 +1,54 @@
+//! Whether what a relay knows of the store is as new as the store's changes that reach VMs.
+//!
+//! A relay learns of changes from the leader's replies, or from the store's feeds. A feed that waits
+//! says nothing: on a link that has fallen silent it waits in vain, and nothing fails for as long as
+//! the feed may wait. So a relay that is cut off from all others but its members would keep them on
+//! old configurations. Only what has arrived a moment ago counts.
+
+use std::time::Duration;
+
+/// How long after the leader's last reply a relay relies on the leader for changes.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long after a response of the store a VM counts as in contact with it: longer than the time
+/// between two renewals, or two reads, of the lease.
+const CONTACT_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// When a VM last heard of the store, by itself or through the leader.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StoreContact {
+    /// When the leader last replied.
+    relayed: Option<Duration>,
+    /// When the store last responded to a call that does not wait for changes.
+    responded: Option<Duration>,
+}
+
+impl StoreContact {
+    /// Records a reply of the leader, which relays changes.
+    ///
+    /// ```
+    /// use bamboocourse_decide::StoreContact;
+    /// use std::time::Duration;
+    /// let mut contact = StoreContact::default();
+    /// contact.on_relayed(Duration::from_secs(1));
+    /// assert!(contact.is_current(Duration::from_secs(1)));
+    /// assert!(!contact.is_current(Duration::from_secs(3)));
+    /// ```
+    pub fn on_relayed(&mut self, now: Duration) {
+        self.relayed = Some(now);
+    }
+
+    /// Records a response of the store to a call that does not wait for changes.
+    pub fn on_response(&mut self, now: Duration) {
+        self.responded = Some(now);
+    }
+
+    /// Returns whether the leader relays changes.
+    pub fn is_relayed(&self, now: Duration) -> bool {
+        self.relayed.is_some_and(|at| now < at + RELAY_TIMEOUT)
+    }
+
+    /// Returns whether members may rely on this VM for what is new in the store.
+    pub fn is_current(&self, now: Duration) -> bool {
+        self.is_relayed(now) || self.responded.is_some_and(|at| now < at + CONTACT_TIMEOUT)
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/store_contact.rs
@@ -0,0 +1,42 @@
+//! Tests of when members may rely on a relay for what is new in the store.
+
+use std::time::Duration;
+
+use bamboocourse_decide::StoreContact;
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Guards against a relay that is cut off from the leader and the store keeping its members on an
+/// old configuration: its feed waits for up to 26 s without an error (csml-piazzale-grown
+/// trouble-1: CONFIG).
+#[test]
+fn relay_that_is_cut_off_is_not_current() {
+    let mut contact = StoreContact::default();
+    for now in (0..4_000).step_by(250) {
+        contact.on_relayed(at(now));
+        assert!(contact.is_current(at(now)));
+    }
+    let cut = at(4_000);
+    assert!(!contact.is_current(cut + at(1_500)), "members look elsewhere in time");
+}
+
+/// While there is no leader, relays read the lease's row every 700 ms, and its holder renews the
+/// lease every 800 ms.
+#[test]
+fn vm_that_the_store_answers_is_current() {
+    let mut contact = StoreContact::default();
+    for now in (0..8_000).step_by(100) {
+        if now % 800 == 0 {
+            contact.on_response(at(now));
+        }
+        assert!(contact.is_current(at(now)), "at {now} ms");
+    }
+}
+
+#[test]
+fn vm_that_has_heard_nothing_is_not_current() {
+    let contact = StoreContact::default();
+    assert!(!contact.is_current(Duration::ZERO) && !contact.is_relayed(Duration::ZERO));
+}
--- a/crates/entry/src/process/coordinator/lease.rs
+++ b/crates/entry/src/process/coordinator/lease.rs
@@ -98,6 +98,7 @@
             }
         };
         self.sync_clock(rows.now, now);
+        self.handles.endpoint_list.on_store_response();
         let row = rows.rows.iter().find(|row| row.key == LEADER_KEY);
         self.observe(row, now);
     }
@@ -254,6 +255,7 @@
         match result {
             Ok(WriteOutcome::Applied(version, clock)) => {
                 self.sync_clock(clock, now);
+                self.handles.endpoint_list.on_store_response();
                 self.lease.handle(LeaseEvent::Settled(
                     fence,
                     CommitOutcome::Committed(version),
--- a/crates/entry/src/process/endpoint_list.rs
+++ b/crates/entry/src/process/endpoint_list.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bamboocourse_decide::{EndpointId, FastMap, FastSet};
+use bamboocourse_decide::{EndpointId, FastMap, FastSet, StoreContact};
 use log::{info, warn};
 use tokio::sync::mpsc;
 
@@ -43,8 +43,8 @@
     /// From when endpoints whose rows have vanished are removed; [`Duration::MAX`] during an outage
     /// of the store. Until then, the outage alone may have made the rows expire.
     removals_from: Duration,
-    /// Until when this VM relies on the leader for changes.
-    relayed_until: Duration,
+    /// When this VM last heard of the store, by itself or through the leader.
+    contact: StoreContact,
     /// The row's version at each endpoint's last change that the leader must relay.
     relays: FastMap<EndpointId, StoreVersion>,
     /// The same, in the order of versions.
@@ -63,8 +63,6 @@
     }
 }
 
-/// How long after the leader's last message a VM relies on the leader for changes.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How long the leader relays a removal to every VM, including those that know a newer version.
 const REMOVAL_RELAY_TIME: Duration = Duration::from_secs(3);
 
@@ -117,20 +115,23 @@
 
     /// Records that the leader relays changes.
     pub(crate) fn on_relay(&self) {
-        self.state().relayed_until = boot_now() + RELAY_TIMEOUT;
+        self.state().contact.on_relayed(boot_now());
     }
 
     /// Returns whether this VM relies on the leader for changes.
     pub(crate) fn is_relayed(&self) -> bool {
-        boot_now() < self.state().relayed_until
+        self.state().contact.is_relayed(boot_now())
     }
 
-    /// Returns whether what this VM knows is as new as the store's changes that reach VMs: the leader
-    /// relays them, or the store can be followed.
+    /// Returns whether what this VM knows is as new as the store's changes that reach VMs.
     pub(crate) fn is_current(&self) -> bool {
         let state = self.state();
-        boot_now() < state.relayed_until
-            || (state.removals_from != Duration::MAX && state.first_version.is_some())
+        state.first_version.is_some() && state.contact.is_current(boot_now())
+    }
+
+    /// Records that the store has responded to a call that does not wait for changes.
+    pub(crate) fn on_store_response(&self) {
+        self.state().contact.on_response(boot_now());
     }
 
     /// Records that the store could not be reached.
