--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -235,6 +235,7 @@
                     // The lease's row soon names the new leader; if the leader stays the same, the
                     // connection is tried again.
                     let pause = match position {
+                        Position::Relay if end == LinkEnd::Refused => RECONNECT_DELAY / 2,
                         Position::Relay => RECONNECT_DELAY,
                         Position::Candidate | Position::Member => {
                             RECONNECT_DELAY / 2 + self.roster.jitter(RECONNECT_DELAY)
@@ -250,7 +251,18 @@
     fn next_target(&mut self, tried: &mut Vec<SocketAddr>) -> Target {
         let leader = *self.leader.borrow_and_update();
         if self.roster.is_relay() {
-            return leader.map_or(Target::Own, |leader| Target::Other(leader, Position::Relay));
+            let Some(known) = leader else { return Target::Own };
+            // The lease's row tells the leader, who may soon be back. A VM that cannot read the row
+            // asks the other relays in between.
+            let mut next = known;
+            if tried.last() == Some(&known) {
+                let choices = self.roster.leader_choices();
+                match choices.into_iter().find(|address| !tried.contains(address)) {
+                    Some(other) => next = other,
+                    None => tried.clear(),
+                }
+            }
+            return Target::Other(next, Position::Relay);
         }
         let relays = self.roster.choices();
         let leader = leader.or_else(|| self.roster.roster().leader_address());
@@ -510,9 +522,7 @@
         let _ = self.events.send(CoordinatorEvent::RelayAlive);
         self.scheduler.on_leader_heard();
         if message.sent > 0 {
-            if message.current {
-                self.roster.on_relayed();
-            }
+            self.roster.on_relayed(message.current);
             self.quotas.set_share(0, message.vms as usize, message.funded);
         }
         self.scheduler.on_leader_state(&message.held);
--- a/crates/entry/src/process/roster.rs
+++ b/crates/entry/src/process/roster.rs
@@ -138,9 +138,18 @@
         self.settings.seeds.iter().copied().filter(|seed| *seed != own).collect()
     }
 
-    /// Records that a relay told what is new in the store.
-    pub(crate) fn on_relayed(&self) {
-        self.state().relayed = boot_now();
+    /// Records a reply of a relay; `current` says whether it told what is new in the store.
+    pub(crate) fn on_relayed(&self, current: bool) {
+        self.state().relayed = if current { boot_now() } else { Duration::ZERO };
+    }
+
+    /// Returns where a relay looks for the leader if the VM that the lease's row names does not lead:
+    /// the leader that the roster names, then the other relays, of which one may know a newer roster.
+    pub(crate) fn leader_choices(&self) -> Vec<SocketAddr> {
+        let state = self.state();
+        let relays = state.roster.relays.iter().map(|relay| relay.peer);
+        let named = state.roster.leader_address().into_iter().chain(relays);
+        named.filter(|peer| *peer != self.settings.peer).collect()
     }
 
     /// Returns whether this VM relies on a relay for what is new in the store.
