--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -60,6 +60,8 @@
     pub(crate) asks: Asks,
     /// The leader's address; `None` if this VM leads or the leader is unknown.
     pub(crate) leader: watch::Receiver<Option<SocketAddr>>,
+    /// Where another relay or the leader itself has told this relay that the leader is.
+    pub(crate) found: Option<SocketAddr>,
 }
 
 /// Says when the next report is due: at intervals, or soon after a shortage.
@@ -219,6 +221,11 @@
                 Target::Own => self.report_own(&mut messages).await,
                 Target::Other(address, position) => {
                     let end = self.report_to(address, position).await;
+                    if self.roster.is_relay() {
+                        // Only the leader answers a candidate.
+                        let is_leader = position == Position::Candidate && end != LinkEnd::Refused;
+                        self.found = is_leader.then_some(address);
+                    }
                     match end {
                         LinkEnd::Moved | LinkEnd::Offers => {
                             tried.clear();
@@ -251,18 +258,18 @@
     fn next_target(&mut self, tried: &mut Vec<SocketAddr>) -> Target {
         let leader = *self.leader.borrow_and_update();
         if self.roster.is_relay() {
-            let Some(known) = leader else { return Target::Own };
+            let Some(known) = self.found.or(leader) else { return Target::Own };
             // The lease's row tells the leader, who may soon be back. A VM that cannot read the row
-            // asks the other relays in between.
-            let mut next = known;
+            // asks the other relays in between. It asks as a candidate: a report gives back tokens
+            // that only the leader may take.
             if tried.last() == Some(&known) {
                 let choices = self.roster.leader_choices();
                 match choices.into_iter().find(|address| !tried.contains(address)) {
-                    Some(other) => next = other,
+                    Some(other) => return Target::Other(other, Position::Candidate),
                     None => tried.clear(),
                 }
             }
-            return Target::Other(next, Position::Relay);
+            return Target::Other(known, Position::Relay);
         }
         let relays = self.roster.choices();
         let leader = leader.or_else(|| self.roster.roster().leader_address());
@@ -348,6 +355,7 @@
         let mut framed = Framed::new(stream, FrameCodec::new(self.budget.clone()));
         let mut timer = ReportTimer::new(self);
         let mut moved = self.roster.subscribe();
+        let was_relay = self.roster.is_relay();
         let mut heard = Instant::now();
         let mut end = LinkEnd::Refused;
         // The version of the leader's config row; the maximum, so that no row is sent, until the
@@ -364,7 +372,7 @@
                     }
                     continue;
                 }
-                _ = moved.changed(), if position != Position::Relay => {
+                _ = moved.changed(), if !was_relay => {
                     if self.roster.is_relay() {
                         return LinkEnd::Moved;
                     }
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -132,6 +132,7 @@
             roster: roster.clone(),
             asks: Asks::new(errand_receiver),
             leader: leader_receiver,
+            found: None,
         };
         let callers =
             CallerServer { pipeline, active_fleet: active_fleet.clone(), phase: phase_receiver };
