--- a/crates/entry/src/process/asks.rs
+++ b/crates/entry/src/process/asks.rs
@@ -13,9 +13,9 @@
 /// reaches another VM.
 pub(crate) const RELAY_RETRY_DELAY: Duration = Duration::from_millis(700);
 
-/// What a request wants of a relay.
+/// What a VM sends to its relay on behalf of a caller's request.
 #[derive(Debug)]
-pub(crate) enum Errand {
+pub(crate) enum RelayRequest {
     /// The tokens of a request.
     Ask(OpenAsk),
     /// Unused tokens are given back.
@@ -56,28 +56,28 @@
 /// The asks of this VM that have no answer yet.
 #[derive(Debug)]
 pub(crate) struct Asks {
-    errands: mpsc::UnboundedReceiver<Errand>,
+    relay_requests: mpsc::UnboundedReceiver<RelayRequest>,
     open: FastMap<u64, OpenAsk>,
     last_id: u64,
 }
 
 impl Asks {
-    pub(crate) fn new(errands: mpsc::UnboundedReceiver<Errand>) -> Self {
-        Self { errands, open: FastMap::default(), last_id: 0 }
+    pub(crate) fn new(relay_requests: mpsc::UnboundedReceiver<RelayRequest>) -> Self {
+        Self { relay_requests, open: FastMap::default(), last_id: 0 }
     }
 
-    /// Waits for the next errand and returns its message.
+    /// Waits for the next request to the relay and returns its message.
     pub(crate) async fn next(&mut self) -> Body {
         loop {
-            match self.errands.recv().await {
-                Some(Errand::Ask(ask)) if !ask.reply.is_closed() => {
+            match self.relay_requests.recv().await {
+                Some(RelayRequest::Ask(ask)) if !ask.reply.is_closed() => {
                     self.last_id += 1;
                     let message = ask.message(self.last_id);
                     self.open.insert(self.last_id, ask);
                     return message;
                 }
-                Some(Errand::Ask(_)) => {}
-                Some(Errand::Refund(refund)) => return Body::Refund(refund),
+                Some(RelayRequest::Ask(_)) => {}
+                Some(RelayRequest::Refund(refund)) => return Body::Refund(refund),
                 // The senders are gone only while the process shuts down.
                 None => std::future::pending().await,
             }
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -101,20 +101,20 @@
 
 /// What connections of other VMs need of this VM.
 #[derive(Clone)]
-pub(crate) struct Doors {
+pub(crate) struct PeerServices {
     pub(crate) events: mpsc::UnboundedSender<CoordinatorEvent>,
     pub(crate) quotas: Arc<Quotas>,
     pub(crate) metrics: Arc<Metrics>,
 }
 
 /// Accepts connections of other VMs until the process ends.
-pub(crate) async fn accept(listener: TcpListener, doors: Doors, budget: ByteBudget) {
+pub(crate) async fn accept(listener: TcpListener, services: PeerServices, budget: ByteBudget) {
     let ids = AtomicU64::new(1);
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
                 let id = ids.fetch_add(1, Ordering::Relaxed);
-                tokio::spawn(serve(stream, from, id, doors.clone(), budget.clone()));
+                tokio::spawn(serve(stream, from, id, services.clone(), budget.clone()));
             }
             Err(error) => {
                 warn!(error:%; "a VM's connection was not accepted");
@@ -126,7 +126,13 @@
 
 /// Passes a VM's reports to the coordinator and the coordinator's messages to the VM, and answers
 /// what the VM asks of a relay.
-async fn serve(stream: TcpStream, from: SocketAddr, id: PeerId, doors: Doors, budget: ByteBudget) {
+async fn serve(
+    stream: TcpStream,
+    from: SocketAddr,
+    id: PeerId,
+    services: PeerServices,
+    budget: ByteBudget,
+) {
     if let Err(error) = socket::set_options(&stream) {
         warn!(from:%, error:%; "a VM's connection cannot be used");
         return;
@@ -134,7 +140,7 @@
     let (sender, mut messages) = mpsc::unbounded_channel();
     let answers = sender.downgrade();
     // The receiver is gone only while the process shuts down.
-    let _ = doors.events.send(CoordinatorEvent::PeerConnected(id, sender));
+    let _ = services.events.send(CoordinatorEvent::PeerConnected(id, sender));
     let mut framed = Framed::new(stream, FrameCodec::new(budget));
     let mut heard = Instant::now();
     loop {
@@ -142,15 +148,15 @@
             frame = framed.next() => match frame {
                 Some(Ok(Body::Status(status))) => {
                     heard = Instant::now();
-                    let _ = doors.events.send(CoordinatorEvent::Status(id, status));
+                    let _ = services.events.send(CoordinatorEvent::Status(id, status));
                 }
                 Some(Ok(Body::Ask(ask))) => {
                     if let Some(sender) = answers.upgrade() {
-                        answer_ask(ask, sender, &doors);
+                        answer_ask(ask, sender, &services);
                     }
                 }
                 Some(Ok(Body::Refund(refund))) => {
-                    doors.quotas.refund_own(&refund.workspace, refund.pool);
+                    services.quotas.refund_own(&refund.workspace, refund.pool);
                 }
                 Some(Ok(Body::Lead(_) | Body::Grant(_))) | None => break,
                 Some(Err(error)) => {
@@ -172,13 +178,13 @@
             },
         }
     }
-    let _ = doors.events.send(CoordinatorEvent::PeerDisconnected(id));
+    let _ = services.events.send(CoordinatorEvent::PeerDisconnected(id));
 }
 
 /// Answers a member's ask, at once if the tokens are there.
-fn answer_ask(ask: Ask, sender: mpsc::UnboundedSender<Body>, doors: &Doors) {
-    doors.metrics.asks.add(1, &[]);
-    let quotas = doors.quotas.clone();
+fn answer_ask(ask: Ask, sender: mpsc::UnboundedSender<Body>, services: &PeerServices) {
+    services.metrics.asks.add(1, &[]);
+    let quotas = services.quotas.clone();
     tokio::spawn(async move {
         let timeout = Duration::from_millis(u64::from(ask.timeout));
         let result = quotas.admit_for_member(&ask.workspace, ask.tokens, timeout).await;
@@ -378,8 +384,8 @@
                     }
                     continue;
                 }
-                errand = self.asks.next(), if end == LinkEnd::Lost && position == Position::Member => {
-                    if framed.send(errand).await.is_err() {
+                request = self.asks.next(), if end == LinkEnd::Lost && position == Position::Member => {
+                    if framed.send(request).await.is_err() {
                         return end;
                     }
                     continue;
--- a/crates/entry/src/process/quotas.rs
+++ b/crates/entry/src/process/quotas.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use crate::edge::clock::boot_now;
-use crate::process::asks::{Errand, OpenAsk, RELAY_RETRY_DELAY};
+use crate::process::asks::{OpenAsk, RELAY_RETRY_DELAY, RelayRequest};
 use crate::process::roster::RosterView;
 use crate::process::settings::Bounds;
 use crate::wire::{Ceiling, FloorSpend, Refund, Spend};
@@ -44,7 +44,7 @@
 pub(crate) struct Quotas {
     state: Mutex<State>,
     roster: Arc<RosterView>,
-    errands: mpsc::UnboundedSender<Errand>,
+    relay_requests: mpsc::UnboundedSender<RelayRequest>,
     bounds: Bounds,
     started: Duration,
     /// From when floors may be used without knowing what a former process of this VM spent: all of
@@ -120,14 +120,14 @@
 }
 
 impl Quotas {
-    /// Creates quotas without a configuration; asks for tokens go through `errands`.
+    /// Creates quotas without a configuration; asks for tokens go through `relay_requests`.
     ///
     /// `first_start` says that no former process of this VM can have spent anything.
     pub(crate) fn new(
         bounds: Bounds,
         first_start: bool,
         roster: Arc<RosterView>,
-        errands: mpsc::UnboundedSender<Errand>,
+        relay_requests: mpsc::UnboundedSender<RelayRequest>,
     ) -> Self {
         let started = boot_now();
         let after = |window| if first_start { Duration::ZERO } else { started + window };
@@ -147,7 +147,7 @@
         Self {
             state: Mutex::new(state),
             roster,
-            errands,
+            relay_requests,
             bounds,
             started,
             floors_from: after(bounds.quota_window),
@@ -205,7 +205,7 @@
         let until = Instant::now() + timeout;
         let (ask, answer) = OpenAsk::new(workspace.clone(), tokens, until);
         // The receiver is gone only while the process shuts down.
-        let _ = self.errands.send(Errand::Ask(ask));
+        let _ = self.relay_requests.send(RelayRequest::Ask(ask));
         match tokio::time::timeout_at(until, answer).await {
             Ok(Ok(result)) => result.map(|admission| TokenGrant { admission, asked: true }),
             Ok(Err(_)) | Err(_) => Err(TokensRefused::Unavailable(RELAY_RETRY_DELAY)),
@@ -288,7 +288,7 @@
         if grant.asked && pool > 0 {
             let refund = Refund { workspace: workspace.to_string(), pool };
             // The receiver is gone only while the process shuts down.
-            let _ = self.errands.send(Errand::Refund(refund));
+            let _ = self.relay_requests.send(RelayRequest::Refund(refund));
         } else if !grant.asked {
             self.refund_own(workspace, pool);
         }
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -21,7 +21,7 @@
 use crate::process::coordinator::{Coordinator, CoordinatorEvent, Handles};
 use crate::process::endpoint_list::EndpointList;
 use crate::process::follow::{self, Sink};
-use crate::process::link::{self, Doors, LeaderLink};
+use crate::process::link::{self, LeaderLink, PeerServices};
 use crate::process::metrics::Metrics;
 use crate::process::quotas::Quotas;
 use crate::process::roster::RosterView;
@@ -79,9 +79,13 @@
         let (events, event_receiver) = mpsc::unbounded_channel();
         let scheduler = Arc::new(Scheduler::new(settings.domain.clone()));
         let roster = Arc::new(RosterView::new(settings.clone()));
-        let (errands, errand_receiver) = mpsc::unbounded_channel();
-        let quotas =
-            Arc::new(Quotas::new(settings.bounds, settings.first_start, roster.clone(), errands));
+        let (relay_requests, relay_receiver) = mpsc::unbounded_channel();
+        let quotas = Arc::new(Quotas::new(
+            settings.bounds,
+            settings.first_start,
+            roster.clone(),
+            relay_requests,
+        ));
         let active_fleet = Arc::new(ActiveFleet::new(protocol.clone(), quotas.clone()));
         let delay = settings.bounds.removal_delay;
         let endpoint_list =
@@ -130,7 +134,7 @@
             events: events.clone(),
             budget: pool.budget().clone(),
             roster: roster.clone(),
-            asks: Asks::new(errand_receiver),
+            asks: Asks::new(relay_receiver),
             leader: leader_receiver,
             found: None,
         };
@@ -147,8 +151,8 @@
         tasks.spawn(follow::follow(store.clone(), config, roster.clone(), metrics.clone()));
         tasks.spawn(follow::follow(store, Sink::Endpoints(endpoint_list), roster, metrics.clone()));
         tasks.spawn(Coordinator::new(handles, life).run(event_receiver));
-        let doors = Doors { events: events.clone(), quotas: quotas.clone(), metrics };
-        tasks.spawn(link::accept(peer, doors, pool.budget().clone()));
+        let services = PeerServices { events: events.clone(), quotas: quotas.clone(), metrics };
+        tasks.spawn(link::accept(peer, services, pool.budget().clone()));
         tasks.spawn(link.run());
         tasks.spawn(run_upkeep(scheduler, pool));
         info!(vm = settings.vm.as_str(), domain = settings.domain.as_str(), life,
