--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -536,7 +536,10 @@
         let _ = self.events.send(CoordinatorEvent::RelayAlive);
         self.scheduler.on_leader_heard();
         if message.sent > 0 {
-            self.roster.on_relayed(message.current);
+            // A relay that is out of contact for a moment must not send all its members to the store.
+            if message.current {
+                self.roster.on_relayed();
+            }
             self.quotas.set_share(0, message.vms as usize, message.funded);
         }
         self.scheduler.on_leader_state(&message.held);
--- a/crates/entry/src/process/roster.rs
+++ b/crates/entry/src/process/roster.rs
@@ -138,9 +138,9 @@
         self.settings.seeds.iter().copied().filter(|seed| *seed != own).collect()
     }
 
-    /// Records a reply of a relay; `current` says whether it told what is new in the store.
-    pub(crate) fn on_relayed(&self, current: bool) {
-        self.state().relayed = if current { boot_now() } else { Duration::ZERO };
+    /// Records that a relay told what is new in the store.
+    pub(crate) fn on_relayed(&self) {
+        self.state().relayed = boot_now();
     }
 
     /// Returns where a relay looks for the leader if the VM that the lease's row names does not lead:
