Log on which endpoint and how far a request was broken off, with the prompt's parts

Each break now has a line of its own with the endpoint's instance, the progress there, its filled slots and the shared parts of the prompt, and a counter.

--- a/crates/decide/src/ids.rs
+++ b/crates/decide/src/ids.rs
@@ -16,6 +16,8 @@
 pub type AdapterId = SmolStr;
 /// The name of an endpoint.
 pub type EndpointId = SmolStr;
+/// The id of a part of a prompt, as the caller names it.
+pub type PartId = SmolStr;
 /// The number of a VM's process instance; a later instance has a larger number.
 pub type Incarnation = u64;
 /// The version number of an accepted configuration.
--- a/crates/entry/src/edge/mod.rs
+++ b/crates/entry/src/edge/mod.rs
@@ -12,7 +12,7 @@
 
 use bamboocourse_decide::{
     EndpointId, EndpointInfo, EndpointReport, Fence, FleetConfig, Load, ModelId, ModelRef,
-    OrderCommand, OrderReply, QuietRequest, Refusal, StoreEra, StorePosition, Tokens, VmId,
+    OrderCommand, OrderReply, PartId, QuietRequest, Refusal, StoreEra, StorePosition, Tokens, VmId,
     WorkspaceId,
 };
 use bytes::Bytes;
@@ -156,6 +156,9 @@
     /// A hash of the part of the prompt that belongs to the request or its session; 0 if there is
     /// none.
     pub session: u64,
+    /// The parts of the prompt that other requests may share, in order, without the last one, which
+    /// belongs to the request or its session.
+    pub parts: Vec<PartId>,
     /// The id of the last event that the caller has received; `None` if no stream is resumed.
     pub last_event: Option<u64>,
     /// The headers that are forwarded.
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -55,6 +55,7 @@
     pub(crate) leases: Counter<u64>,
     pub(crate) asks: Counter<u64>,
     pub(crate) withheld: Counter<u64>,
+    pub(crate) broken_off: Counter<u64>,
     unavailable: Counter<u64>,
     leaving: Gauge<u64>,
     quiet: Gauge<u64>,
@@ -83,6 +84,7 @@
             leases: counter(&meter, "leases", "times that this VM took the fleet's lease"),
             asks: counter(&meter, "asks", "requests whose tokens another VM asked this relay for"),
             withheld: counter(&meter, "withheld", "sends to endpoints that leave or want quiet"),
+            broken_off: counter(&meter, "broken_off", "requests that an endpoint broke off"),
             unavailable: counter(
                 &meter,
                 "unavailable",
--- a/crates/entry/src/process/scheduler.rs
+++ b/crates/entry/src/process/scheduler.rs
@@ -67,7 +67,7 @@
     pub(crate) name: EndpointId,
     pub(crate) address: SocketAddr,
     /// The process instance that was listed when this slot was taken.
-    instance: u64,
+    pub(crate) instance: u64,
     /// The part of the endpoint's slots in use when this slot was taken, including this slot; more
     /// than 1 if requests queue there.
     pub(crate) utilization: f64,
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -7,6 +7,7 @@
 //!    allows it.
 //! 5. Forwards the response, either in one piece or as a stream of events.
 
+mod loss;
 mod relay;
 mod send;
 mod slot;
@@ -35,6 +36,7 @@
 use crate::process::scheduler::{EndpointSlot, Scheduler};
 use crate::process::shutdown::{OpenCount, Phase, Shutdown};
 
+use self::loss::Progress;
 use self::relay::Relay;
 use self::send::{EndpointResponse, SendResult};
 use self::trace::Trace;
@@ -349,6 +351,7 @@
             Ok(Ok(bytes)) => bytes,
             Ok(Err(error)) => {
                 slot.set_outcome(SendOutcome::Failed);
+                self.on_broken_off(job, &slot, Progress::Begun);
                 let detail = format!("{} broke its answer off ({error:?})", slot.name);
                 trace.note("answer broken off");
                 return Err(Refusal::unknown(ErrorKind::ResponseTruncated, detail));
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -17,6 +17,7 @@
 use hyper::body::{Frame, Incoming};
 use tokio::time::Instant;
 
+use super::loss::Progress;
 use super::send::{EndpointResponse, SendResult};
 use super::trace::Trace;
 use super::{Body, Job, Pipeline};
@@ -59,6 +60,8 @@
     slot: EndpointSlot,
     /// The received part of an event that is not complete yet.
     partial: BytesMut,
+    /// When the first whole event arrived.
+    first_event: Option<Instant>,
 }
 
 /// The result of reading from the endpoint's stream.
@@ -130,6 +133,7 @@
                 Chunk::Events(events, last_id) => {
                     if let Some(source) = &mut self.source {
                         source.slot.set_outcome(SendOutcome::Neutral);
+                        source.first_event.get_or_insert_with(Instant::now);
                     }
                     self.last_event = last_id.or(self.last_event);
                     let disconnects_at = Instant::now() + super::disconnect_time(&self.job.route);
@@ -151,6 +155,7 @@
                     self.trace.note(why);
                     if let Some(mut source) = self.source.take() {
                         source.slot.set_outcome(SendOutcome::Failed);
+                        self.pipeline.on_broken_off(&self.job, &source.slot, source.progress());
                     }
                     chunk = match self.resume().await {
                         Resumed::Moved => self.read_chunk().await,
@@ -270,7 +275,13 @@
 impl Source {
     fn new(response: EndpointResponse) -> Self {
         let EndpointResponse { body, connection, idle, slot, .. } = response;
-        Self { body, connection, idle, slot, partial: BytesMut::new() }
+        let (partial, first_event) = (BytesMut::new(), None);
+        Self { body, connection, idle, slot, partial, first_event }
+    }
+
+    /// Returns how far the stream is at this endpoint.
+    fn progress(&self) -> Progress {
+        self.first_event.map_or(Progress::Begun, Progress::Streaming)
     }
 
     /// Reads until there are whole events or the stream ends; nothing is lost if this is canceled.
--- a/crates/entry/src/request/send.rs
+++ b/crates/entry/src/request/send.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use super::loss::Progress;
 use super::trace::Trace;
 use super::{DEFAULT_RETRY_AFTER, Job, Pipeline, timeout_refusal};
 use crate::edge::EndpointRequest;
@@ -124,6 +125,7 @@
             }
             Ok(Err(SendError::Unknown(why))) => {
                 trace.note("connection lost");
+                self.on_broken_off(job, &slot, Progress::Sent);
                 slot.set_outcome(SendOutcome::Failed);
                 let detail = format!("{} broke off: {why}", slot.name);
                 return SendResult::Unknown(Refusal::unknown(ErrorKind::EndpointFailed, detail));
