A stream without framing that ends without an event is broken off, not complete

What callers saw: 200 and an empty stream that looks whole, after an endpoint ended between the head and its first event. Cause: a body without length or chunks ends with its connection, so its end alone tells nothing; only an end within an event was taken for a break. Such a stream without any event is now resumed elsewhere or reported as broken.

--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -13,6 +13,7 @@
 use bamboocourse_decide::{Arrivals, EndpointId, SendOutcome};
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use tokio::time::Instant;
@@ -62,6 +63,8 @@
     partial: BytesMut,
     /// When the first whole event arrived.
     first_event: Option<Instant>,
+    /// Whether the body has a length or chunks, which tell that it is complete.
+    framed: bool,
 }
 
 /// The result of reading from the endpoint's stream.
@@ -274,9 +277,11 @@
 
 impl Source {
     fn new(response: EndpointResponse) -> Self {
-        let EndpointResponse { body, connection, idle, slot, .. } = response;
+        let EndpointResponse { head, body, connection, idle, slot, .. } = response;
+        let framed =
+            [TRANSFER_ENCODING, CONTENT_LENGTH].iter().any(|name| head.headers.contains_key(name));
         let (partial, first_event) = (BytesMut::new(), None);
-        Self { body, connection, idle, slot, partial, first_event }
+        Self { body, connection, idle, slot, partial, first_event, framed }
     }
 
     /// Returns how far the stream is at this endpoint.
@@ -290,6 +295,10 @@
             let frame = match self.body.frame().await {
                 Some(Ok(frame)) => frame,
                 Some(Err(_)) => return Chunk::Broken("stream broken off"),
+                // An endpoint that ends before its first event closes such a stream, too.
+                None if !self.framed && self.partial.is_empty() && self.first_event.is_none() => {
+                    return Chunk::Broken("stream ended without an event");
+                }
                 None if self.partial.is_empty() => return Chunk::End,
                 None => {
                     let blocks = protocol.read_events(&self.partial).blocks;
