--- a/crates/decide/src/error.rs
+++ b/crates/decide/src/error.rs
@@ -77,6 +77,8 @@
     EndpointTimeout,
     /// No batch job has this id.
     JobUnknown,
+    /// Requests with a part of the prompt have crashed endpoints.
+    PromptHeld,
 }
 
 /// What a caller receives for a kind of refusal.
@@ -103,7 +105,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of declaration.
-    pub const ALL: [ErrorKind; 26] = [
+    pub const ALL: [ErrorKind; 27] = [
         ErrorKind::BadRequest,
         ErrorKind::BodyTooLarge,
         ErrorKind::HeaderTooLarge,
@@ -130,6 +132,7 @@
         ErrorKind::ResponseTruncated,
         ErrorKind::EndpointTimeout,
         ErrorKind::JobUnknown,
+        ErrorKind::PromptHeld,
     ];
 
     /// Returns the response of this kind.
@@ -190,6 +193,9 @@
             ErrorKind::ResponseTruncated => response("answer_truncated", 502, false, "see `ran`"),
             ErrorKind::EndpointTimeout => response("endpoint_timeout", 504, false, "see `ran`"),
             ErrorKind::JobUnknown => response("job_unknown", 404, false, "check the job's id"),
+            ErrorKind::PromptHeld => {
+                response("prompt_held", 400, false, "leave out the part that crashes endpoints")
+            }
         }
     }
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -84,6 +84,10 @@
 pub use request::availability::{
     Availability, AvailabilityLog, EndpointInstance, MAX_QUIET, QuietRequest, UNREADABLE_QUIET,
 };
+pub use request::crash_log::{
+    CrashLog, EVIDENCE_TERM, EndpointEnd, HeldPart, PartChange, Prompt, PromptCheck,
+    SOUND_STREAM_TIME,
+};
 pub use request::dispatch::{
     Dispatcher, EndpointInfo, ModelRef, QueueTicket, Requirements, SendOutcome, Shortage,
 };
--- /dev/null
+++ b/crates/decide/src/request/crash_log.rs
@@ -0,0 +1,572 @@
+//! Which parts of prompts crash the endpoints that begin to answer requests with them.
+//!
+//! When an endpoint's process ends, the requests that it had not yet been seen to answer are the
+//! suspects: one of them may have ended it. A part of a prompt is held back once it was among the
+//! suspects of several endpoints that ended, and no request with it has been answered since. What
+//! counts for a part, and what against:
+//!
+//! - An endpoint counts once, whatever number of VMs saw it end. A request that was sent on from one
+//!   endpoint to the next does not suffice by itself.
+//! - An endpoint whose end is explained by a part that is held back already, or that more endpoints
+//!   ended under, does not count against the other parts of the same requests.
+//! - A request with the part that some endpoint went on answering clears all earlier evidence. A part
+//!   that was answered some time ago needs more evidence than one that never was.
+//! - A part is held back only for the workspace whose requests ended all these endpoints, until a
+//!   request of another one has ended one, too.
+//!
+//! The leader tells the other VMs which parts are held back. A VM that it does not reach decides by
+//! what it has seen itself.
+
+use std::time::Duration;
+
+use crate::ids::{PartId, WorkspaceId};
+use crate::map::{FastMap, FastSet};
+use crate::request::availability::EndpointInstance;
+
+/// How long an endpoint's end is remembered as evidence.
+pub const EVIDENCE_TERM: Duration = Duration::from_secs(60);
+/// How long after its first event a stream counts as answered: an endpoint that crashes on a request
+/// does so when it begins to answer.
+pub const SOUND_STREAM_TIME: Duration = Duration::from_millis(300);
+/// The endpoints that must have ended under a part that no request was ever answered with.
+const UNKNOWN_PART_ENDS: usize = 3;
+/// The requests with such a part that they must have ended under.
+const UNKNOWN_PART_REQUESTS: usize = 2;
+/// The endpoints that must have ended under a part that requests were answered with before.
+const KNOWN_PART_ENDS: usize = 5;
+/// The requests with such a part that they must have ended under.
+const KNOWN_PART_REQUESTS: usize = 3;
+/// The least time over which they must have ended, so that the loss of many endpoints at the same
+/// moment is no evidence; requests with a part in use are answered within this time.
+const KNOWN_PART_SPAN: Duration = Duration::from_secs(1);
+/// How long it is remembered that a request with a part was answered.
+const SOUND_MEMORY: Duration = Duration::from_secs(600);
+/// The endpoints that a request may end before it is sent no more.
+const MAX_REQUEST_ENDS: usize = 2;
+/// How long a VM holds a part back that the VM it reports to does not know of, although it has been
+/// told the evidence.
+const UNCONFIRMED_TERM: Duration = Duration::from_secs(1);
+/// The time from the last endpoint that ended until one request with the part is tried.
+const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(60);
+/// The factor from one such time to the next.
+const TRIAL_DELAY_FACTOR: u32 = 5;
+/// The most requests that are tried with a part that is held back.
+const MAX_TRIALS: u32 = 3;
+/// How long a part is held back after the last endpoint that ended or request that was tried.
+const HOLD_TERM: Duration = Duration::from_secs(24 * 3_600);
+/// The most endpoints whose end is remembered.
+const MAX_ENDS: usize = 64;
+/// The most suspects of one endpoint's end that are remembered.
+const MAX_SUSPECTS: usize = 64;
+/// The most of them that are remembered of one workspace.
+const MAX_WORKSPACE_SUSPECTS: usize = 16;
+/// The most parts that are held back at a time; the ones held back first give way.
+const MAX_HELD_PARTS: usize = 64;
+/// The parts in answered requests of one workspace that are remembered; the newest half stays.
+const MAX_SOUND_PARTS: usize = 512;
+/// The workspaces of which they are remembered.
+const MAX_SOUND_WORKSPACES: usize = 256;
+
+/// A request, as far as its prompt is concerned.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Prompt {
+    /// A hash of the request's id.
+    pub request: u64,
+    /// The workspace.
+    pub workspace: WorkspaceId,
+    /// The parts of the prompt that other requests may share.
+    pub parts: Vec<PartId>,
+}
+
+/// The end of an endpoint's process, as one or more VMs saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointEnd {
+    /// The process instance.
+    pub instance: EndpointInstance,
+    /// When a VM first saw it end.
+    pub at: Duration,
+    /// The suspects: the requests that the endpoint had not been seen to answer.
+    pub suspects: Vec<Prompt>,
+    /// When requests with parts of the suspects last began to be answered, as far as is known.
+    pub sound: Vec<(PartId, Duration)>,
+}
+
+/// A part that is held back.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldPart {
+    /// The part.
+    pub part: PartId,
+    /// The only workspace whose requests are held back; `None` for all.
+    pub workspace: Option<WorkspaceId>,
+    /// When the first and the last endpoint ended that count against the part.
+    pub first: Duration,
+    /// See `first`.
+    pub last: Duration,
+    /// The number of these endpoints.
+    pub ends: u32,
+    /// The number of requests that were tried since.
+    pub trials: u32,
+}
+
+/// Whether a request may be sent to endpoints.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PromptCheck {
+    /// Nothing speaks against it.
+    Open,
+    /// It may be sent once, to learn whether a part is sound again.
+    Trial,
+    /// A part of its prompt is held back.
+    Held(HeldPart),
+    /// The request itself has ended this number of endpoints.
+    EndedEndpoints(usize),
+}
+
+/// A change at the parts that are held back, for logs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PartChange {
+    /// The part was a suspect when this number of endpoints ended, and needs more evidence.
+    Suspected(PartId, usize),
+    /// The part is held back from now on, or for all workspaces instead of one.
+    Held(HeldPart),
+    /// The part is no longer held back, for this reason.
+    Released(HeldPart, &'static str),
+}
+
+/// The ends of endpoints, and the parts that are held back because of them, as one VM knows them.
+#[derive(Debug, Default)]
+pub struct CrashLog {
+    ends: Vec<(u64, EndpointEnd)>,
+    last_number: u64,
+    /// When requests with a part last began to be answered, as this VM saw it, for each workspace.
+    sound: FastMap<WorkspaceId, FastMap<PartId, Duration>>,
+    /// The same, as other VMs told it, for parts of suspects.
+    told_sound: FastMap<PartId, Duration>,
+    held: FastMap<PartId, Hold>,
+    suspected: FastMap<PartId, usize>,
+    changes: Vec<PartChange>,
+    leads: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Hold {
+    held: HeldPart,
+    /// When this VM began to hold the part back.
+    since: Duration,
+    /// Whether the VM that this one reports to holds the part back, too.
+    told: bool,
+}
+
+impl HeldPart {
+    /// Returns when the next request with the part may be tried; `None` if none will be.
+    fn next_trial(&self) -> Option<Duration> {
+        let delay = FIRST_TRIAL_DELAY * TRIAL_DELAY_FACTOR.pow(self.trials.min(MAX_TRIALS));
+        (self.trials < MAX_TRIALS).then_some(self.last + delay)
+    }
+}
+
+/// What counts against one part.
+#[derive(Debug, Default)]
+struct Evidence<'a> {
+    ends: usize,
+    requests: FastSet<u64>,
+    workspaces: FastSet<&'a WorkspaceId>,
+    first: Duration,
+    last: Duration,
+    /// The place of the part in the prompts, from the front.
+    place: usize,
+    /// When a request with the part last began to be answered.
+    sound_at: Option<Duration>,
+}
+
+impl CrashLog {
+    /// Returns whether a request may be sent, for the first time or again.
+    ///
+    /// ```
+    /// use bamboocourse_decide::{CrashLog, Prompt, PromptCheck};
+    /// use std::time::Duration;
+    /// let mut log = CrashLog::default();
+    /// let request = Prompt { request: 1, workspace: "w".into(), parts: vec!["p".into()] };
+    /// assert_eq!(log.check(&request, Duration::ZERO), PromptCheck::Open);
+    /// ```
+    pub fn check(&mut self, request: &Prompt, now: Duration) -> PromptCheck {
+        let ends = self.request_ends(request.request);
+        if ends >= MAX_REQUEST_ENDS {
+            return PromptCheck::EndedEndpoints(ends);
+        }
+        if self.held.is_empty() {
+            return PromptCheck::Open;
+        }
+        let leads = self.leads;
+        for part in &request.parts {
+            let Some(hold) = self.held.get_mut(part) else { continue };
+            if hold.held.workspace.as_ref().is_some_and(|only| *only != request.workspace) {
+                continue;
+            }
+            if leads && ends == 0 && hold.held.next_trial().is_some_and(|trial| trial <= now) {
+                hold.held.trials += 1;
+                hold.held.last = now;
+                return PromptCheck::Trial;
+            }
+            return PromptCheck::Held(hold.held.clone());
+        }
+        PromptCheck::Open
+    }
+
+    /// Returns how many endpoints ended while they had this request and had not answered it.
+    pub fn request_ends(&self, request: u64) -> usize {
+        let is_suspect =
+            |end: &EndpointEnd| end.suspects.iter().any(|suspect| suspect.request == request);
+        self.ends.iter().filter(|(_, end)| is_suspect(end)).count()
+    }
+
+    /// Returns whether it is known that an instance has ended.
+    pub fn has_ended(&self, instance: &EndpointInstance) -> bool {
+        self.ends.iter().any(|(_, end)| end.instance == *instance)
+    }
+
+    /// Records that an endpoint ended, as this VM saw it or another one told it; returns whether that
+    /// is new.
+    pub fn on_end(&mut self, mut end: EndpointEnd, now: Duration) -> bool {
+        if end.at + EVIDENCE_TERM <= now {
+            return false;
+        }
+        for (part, at) in end.sound.drain(..) {
+            self.note_told_sound(part, at.min(now));
+        }
+        let known = self.ends.iter().position(|(_, known)| known.instance == end.instance);
+        let index = known.unwrap_or_else(|| {
+            self.ends.push((0, EndpointEnd { suspects: Vec::new(), ..end.clone() }));
+            self.ends.len() - 1
+        });
+        let (number, merged) = &mut self.ends[index];
+        let mut is_new = known.is_none();
+        merged.at = merged.at.min(end.at);
+        for suspect in end.suspects {
+            let own = merged.suspects.iter().filter(|other| other.workspace == suspect.workspace);
+            let is_known = merged.suspects.iter().any(|other| other.request == suspect.request);
+            let has_room = merged.suspects.len() < MAX_SUSPECTS;
+            if !is_known && has_room && own.count() < MAX_WORKSPACE_SUSPECTS {
+                merged.suspects.push(suspect);
+                is_new = true;
+            }
+        }
+        if is_new {
+            self.last_number += 1;
+            *number = self.last_number;
+        }
+        if self.ends.len() > MAX_ENDS
+            && let Some(oldest) = (0..self.ends.len()).min_by_key(|index| self.ends[*index].1.at)
+        {
+            self.ends.remove(oldest);
+        }
+        self.evaluate(now);
+        is_new
+    }
+
+    /// Records that requests of a workspace with these parts are answered; the endpoint began to
+    /// answer at `began`.
+    pub fn on_sound(
+        &mut self,
+        workspace: &WorkspaceId,
+        parts: &[PartId],
+        began: Duration,
+        now: Duration,
+    ) {
+        if parts.is_empty() {
+            return;
+        }
+        if !self.sound.contains_key(workspace) && self.sound.len() >= MAX_SOUND_WORKSPACES {
+            self.sound.retain(|_, parts| parts.values().any(|at| now < *at + EVIDENCE_TERM));
+            if self.sound.len() >= MAX_SOUND_WORKSPACES {
+                return;
+            }
+        }
+        let known = self.sound.entry(workspace.clone()).or_default();
+        for part in parts {
+            let at = known.entry(part.clone()).or_default();
+            *at = began.max(*at);
+        }
+        if known.len() > MAX_SOUND_PARTS {
+            let mut times: Vec<Duration> = known.values().copied().collect();
+            times.sort_unstable();
+            let oldest = times[times.len() / 2];
+            known.retain(|_, at| *at > oldest);
+        }
+        for part in parts {
+            self.release_sound(part, began, now);
+        }
+    }
+
+    /// Records that another VM saw requests with a part being answered from `began` on.
+    pub fn on_told_sound(&mut self, part: &PartId, began: Duration, now: Duration) {
+        self.note_told_sound(part.clone(), began.min(now));
+        self.release_sound(part, began.min(now), now);
+    }
+
+    fn note_told_sound(&mut self, part: PartId, began: Duration) {
+        let at = self.told_sound.entry(part).or_default();
+        *at = began.max(*at);
+    }
+
+    /// Lets a part go if requests with it were answered since the first end that counts against it.
+    ///
+    /// A part that another VM told this one to hold back is let go by that VM.
+    fn release_sound(&mut self, part: &PartId, began: Duration, now: Duration) {
+        let is_cleared = self
+            .held
+            .get(part)
+            .is_some_and(|hold| hold.held.first < began && (self.leads || !hold.told));
+        if is_cleared {
+            self.release(part, "a request with it was answered");
+            self.evaluate(now);
+        }
+    }
+
+    fn release(&mut self, part: &PartId, why: &'static str) {
+        if let Some(hold) = self.held.remove(part) {
+            self.changes.push(PartChange::Released(hold.held, why));
+        }
+    }
+
+    /// Sets whether this VM leads, and so decides about trials.
+    pub fn set_leads(&mut self, leads: bool) {
+        self.leads = leads;
+    }
+
+    /// Returns the ends that were recorded or changed after a number, and the last number.
+    ///
+    /// Each says of the parts of its suspects when requests with them were last answered.
+    pub fn ends_after(&self, number: u64) -> (Vec<EndpointEnd>, u64) {
+        let later = self.ends.iter().filter(|(at, _)| *at > number);
+        let later = later.map(|(_, end)| EndpointEnd {
+            sound: self.known_sound(end.suspects.iter().flat_map(|suspect| &suspect.parts)),
+            ..end.clone()
+        });
+        (later.collect(), self.last_number)
+    }
+
+    /// Returns the parts that are held back although requests with them were answered since, and when
+    /// these began to be answered.
+    pub fn cleared(&self) -> Vec<(PartId, Duration)> {
+        let held = self.held.iter().filter_map(|(part, hold)| {
+            let at = self.sound_at(part)?;
+            (hold.held.first < at).then(|| (part.clone(), at))
+        });
+        held.collect()
+    }
+
+    fn known_sound<'a>(&self, parts: impl Iterator<Item = &'a PartId>) -> Vec<(PartId, Duration)> {
+        let parts: FastSet<&PartId> = parts.collect();
+        let known = parts.into_iter().filter_map(|part| Some((part.clone(), self.sound_at(part)?)));
+        known.collect()
+    }
+
+    /// Returns the parts that are held back.
+    pub fn held(&self) -> Vec<HeldPart> {
+        self.held.values().map(|hold| hold.held.clone()).collect()
+    }
+
+    /// Adopts a part that another VM holds back and that reports to this one, unless requests with it
+    /// were answered since.
+    pub fn adopt(&mut self, held: HeldPart, now: Duration) {
+        if self.sound_at(&held.part).is_none_or(|at| at <= held.first) {
+            self.hold(held, false, now);
+        }
+    }
+
+    /// Applies the parts that the VM holds back to which this one reports.
+    ///
+    /// A part that it does not hold back is let go, also one that this VM held back by itself some
+    /// time ago: the other VM has been told the evidence, and what speaks against it.
+    pub fn on_told(&mut self, told: Vec<HeldPart>, now: Duration) {
+        let parts: FastSet<PartId> = told.iter().map(|held| held.part.clone()).collect();
+        let dropped = self.held.iter().filter(|(part, hold)| {
+            !parts.contains(*part) && (hold.told || hold.since + UNCONFIRMED_TERM <= now)
+        });
+        let dropped: Vec<PartId> = dropped.map(|(part, _)| part.clone()).collect();
+        for part in dropped {
+            self.note_told_sound(part.clone(), now);
+            self.release(&part, "the VM that this one reports to has let it go");
+        }
+        for held in told {
+            self.hold(held, true, now);
+        }
+    }
+
+    /// Holds a part back, or updates what is known of one that is.
+    fn hold(&mut self, held: HeldPart, told: bool, now: Duration) {
+        self.suspected.remove(&held.part);
+        if let Some(known) = self.held.get_mut(&held.part) {
+            known.told |= told;
+            known.held.first = known.held.first.min(held.first);
+            known.held.last = known.held.last.max(held.last);
+            known.held.ends = known.held.ends.max(held.ends);
+            known.held.trials = known.held.trials.max(held.trials);
+            if known.held.workspace.is_some() && known.held.workspace != held.workspace {
+                known.held.workspace = None;
+                self.changes.push(PartChange::Held(known.held.clone()));
+            }
+            return;
+        }
+        if self.held.len() >= MAX_HELD_PARTS
+            && let Some((oldest, _)) = self.held.iter().min_by_key(|(_, hold)| hold.held.last)
+        {
+            let oldest = oldest.clone();
+            self.release(&oldest, "too many parts are held back");
+        }
+        self.changes.push(PartChange::Held(held.clone()));
+        self.held.insert(held.part.clone(), Hold { held, since: now, told });
+    }
+
+    /// Returns the changes since the last call.
+    pub fn take_changes(&mut self) -> Vec<PartChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Forgets what is too old.
+    pub fn prune(&mut self, now: Duration) {
+        self.ends.retain(|(_, end)| now < end.at + EVIDENCE_TERM);
+        for parts in self.sound.values_mut() {
+            parts.retain(|_, at| now < *at + SOUND_MEMORY);
+        }
+        self.sound.retain(|_, parts| !parts.is_empty());
+        self.told_sound.retain(|_, at| now < *at + SOUND_MEMORY);
+        let expired = self.held.iter().filter(|(_, hold)| hold.held.last + HOLD_TERM <= now);
+        let expired: Vec<PartId> = expired.map(|(part, _)| part.clone()).collect();
+        for part in expired {
+            self.release(&part, "its time is over");
+        }
+        if self.ends.is_empty() {
+            self.suspected.clear();
+        }
+    }
+
+    /// Returns how many ends, parts of answered requests and held parts are remembered.
+    pub fn sizes(&self) -> (usize, usize, usize) {
+        let sound = self.sound.values().map(FastMap::len).sum::<usize>() + self.told_sound.len();
+        (self.ends.len(), sound, self.held.len())
+    }
+
+    /// Returns when a request with a part last began to be answered.
+    fn sound_at(&self, part: &PartId) -> Option<Duration> {
+        let own = self.sound.values().filter_map(|parts| parts.get(part));
+        own.chain(self.told_sound.get(part)).copied().max()
+    }
+
+    /// Holds back the parts that enough evidence speaks against, one after another, as each may
+    /// explain the ends that speak against others.
+    fn evaluate(&mut self, now: Duration) {
+        while let Some(held) = self.find_widened(now) {
+            self.hold(held, false, now);
+        }
+        while let Some(held) = self.find_part(now) {
+            self.hold(held, false, now);
+        }
+    }
+
+    /// Returns the parts of a prompt that are held back.
+    fn held_of<'a>(&'a self, prompt: &'a Prompt) -> impl Iterator<Item = &'a HeldPart> {
+        prompt.parts.iter().filter_map(|part| self.held.get(part)).map(|hold| &hold.held)
+    }
+
+    /// Returns the ends that are recent enough to count.
+    fn recent_ends(&self, now: Duration) -> impl Iterator<Item = &EndpointEnd> {
+        let ends = self.ends.iter().map(|(_, end)| end);
+        ends.filter(move |end| now < end.at + EVIDENCE_TERM)
+    }
+
+    /// Finds a part that is held back for one workspace and has ended an endpoint for another one.
+    fn find_widened(&self, now: Duration) -> Option<HeldPart> {
+        let suspects = self.recent_ends(now).flat_map(|end| &end.suspects);
+        let mut held = suspects
+            .flat_map(|suspect| self.held_of(suspect).map(move |held| (&suspect.workspace, held)));
+        let other = held.find(|(workspace, held)| {
+            held.workspace.as_ref().is_some_and(|only| only != *workspace)
+        });
+        other.map(|(_, held)| HeldPart { workspace: None, ..held.clone() })
+    }
+
+    /// Finds the part that most ends speak against, if they are enough; updates which parts are
+    /// suspected.
+    fn find_part(&mut self, now: Duration) -> Option<HeldPart> {
+        let evidence = self.gather(now);
+        let enough = evidence.iter().filter(|(_, evidence)| evidence.is_enough());
+        let best = enough.max_by_key(|(part, evidence)| {
+            (evidence.sound_at.is_none(), evidence.ends, evidence.place, PartId::clone(part))
+        });
+        let found = best.map(|(part, evidence)| evidence.held_part(part));
+        let suspected: FastMap<PartId, usize> = evidence
+            .iter()
+            .filter(|(_, evidence)| evidence.ends + 1 >= UNKNOWN_PART_ENDS)
+            .map(|(part, evidence)| (PartId::clone(part), evidence.ends))
+            .collect();
+        for (part, ends) in &suspected {
+            let is_held = found.as_ref().is_some_and(|found| found.part == *part);
+            if !is_held && !self.suspected.contains_key(part) {
+                self.changes.push(PartChange::Suspected(part.clone(), *ends));
+            }
+        }
+        self.suspected = suspected;
+        found
+    }
+
+    /// Gathers what speaks against each part.
+    fn gather(&self, now: Duration) -> FastMap<&PartId, Evidence<'_>> {
+        let mut evidence: FastMap<&PartId, Evidence<'_>> = FastMap::default();
+        for end in self.recent_ends(now) {
+            let is_explained =
+                end.suspects.iter().any(|suspect| self.held_of(suspect).next().is_some());
+            if is_explained {
+                continue;
+            }
+            let mut counted: FastSet<&PartId> = FastSet::default();
+            for suspect in &end.suspects {
+                for (place, part) in suspect.parts.iter().enumerate() {
+                    let known = evidence.entry(part).or_insert_with(|| Evidence {
+                        first: Duration::MAX,
+                        sound_at: self.sound_at(part),
+                        ..Evidence::default()
+                    });
+                    if known.sound_at.is_some_and(|at| at >= end.at) {
+                        continue;
+                    }
+                    known.ends += usize::from(counted.insert(part));
+                    known.requests.insert(suspect.request);
+                    known.workspaces.insert(&suspect.workspace);
+                    known.first = known.first.min(end.at);
+                    known.last = known.last.max(end.at);
+                    known.place = known.place.max(place);
+                }
+            }
+        }
+        evidence
+    }
+}
+
+impl Evidence<'_> {
+    /// Returns whether the evidence suffices to hold the part back.
+    fn is_enough(&self) -> bool {
+        let requests = self.requests.len();
+        if self.sound_at.is_none() {
+            return self.ends >= UNKNOWN_PART_ENDS && requests >= UNKNOWN_PART_REQUESTS;
+        }
+        self.ends >= KNOWN_PART_ENDS
+            && requests >= KNOWN_PART_REQUESTS
+            && self.last >= self.first + KNOWN_PART_SPAN
+    }
+
+    fn held_part(&self, part: &PartId) -> HeldPart {
+        let mut workspaces = self.workspaces.iter();
+        let only = workspaces.next().filter(|_| workspaces.next().is_none());
+        // A request on a public route belongs to no workspace.
+        let only = only.filter(|only| !only.is_empty());
+        HeldPart {
+            part: part.clone(),
+            workspace: only.map(|workspace| WorkspaceId::clone(workspace)),
+            first: self.first,
+            last: self.last,
+            ends: self.ends as u32,
+            trials: 0,
+        }
+    }
+}
--- a/crates/decide/src/request/mod.rs
+++ b/crates/decide/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod arrivals;
 pub(crate) mod availability;
+pub(crate) mod crash_log;
 pub(crate) mod dispatch;
 pub(crate) mod fair;
 pub(crate) mod idempotency;
--- /dev/null
+++ b/crates/decide/tests/crash_log.rs
@@ -0,0 +1,409 @@
+//! Tests of which parts of prompts are held back after endpoints have ended.
+//!
+//! They guard against requests that crash one endpoint after the other (incident inc1, BUDGET), and
+//! against holding back what only was there when an endpoint ended.
+
+use std::time::Duration;
+
+use bamboocourse_decide::{
+    CrashLog, EVIDENCE_TERM, EndpointEnd, HeldPart, PartChange, PartId, Prompt, PromptCheck,
+};
+use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// The part that crashes endpoints.
+const BAD: &str = "bad";
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// Returns a request of the workspace `w` with these parts.
+fn prompt(request: u64, parts: &[&str]) -> Prompt {
+    let parts = parts.iter().map(PartId::new).collect();
+    Prompt { request, workspace: "w".into(), parts }
+}
+
+/// Returns the end of an endpoint under these requests.
+fn end(endpoint: usize, at: f64, suspects: &[Prompt]) -> EndpointEnd {
+    EndpointEnd {
+        instance: (format!("e{endpoint}").into(), 1),
+        at: seconds(at),
+        suspects: suspects.to_vec(),
+        sound: Vec::new(),
+    }
+}
+
+/// Records that an endpoint ended under these requests.
+fn add(log: &mut CrashLog, endpoint: usize, at: f64, suspects: &[Prompt]) {
+    log.on_end(end(endpoint, at, suspects), seconds(at));
+}
+
+/// Returns the parts that a log holds back.
+fn held(log: &CrashLog) -> Vec<String> {
+    let mut held: Vec<String> = log.held().into_iter().map(|held| held.part.into()).collect();
+    held.sort();
+    held
+}
+
+/// Returns whether a request with these parts may be sent.
+fn is_open(log: &mut CrashLog, parts: &[&str], at: f64) -> bool {
+    log.check(&prompt(u64::MAX, parts), seconds(at)) == PromptCheck::Open
+}
+
+#[test]
+fn part_that_ends_one_endpoint_after_the_other_is_held_back() {
+    let mut log = CrashLog::default();
+    for number in 0..3 {
+        assert!(is_open(&mut log, &["first", BAD], number as f64));
+        let request = prompt(number, &["first", &format!("other{number}"), BAD]);
+        add(&mut log, number as usize, number as f64, &[request]);
+    }
+    assert_eq!(held(&log), [BAD]);
+    assert!(!is_open(&mut log, &["first", BAD], 3.0));
+    assert!(is_open(&mut log, &["first", "other0"], 3.0));
+}
+
+// The streams of an endpoint move to the next one together, so that all of them are there when the
+// one that crashes endpoints does so again.
+#[test]
+fn requests_that_moved_with_the_crashing_one_are_not_held_back() {
+    let mut log = CrashLog::default();
+    let innocent = prompt(90, &["first", "rare"]);
+    for number in 0..4 {
+        let request = prompt(number / 2, &["first", BAD]);
+        add(&mut log, number as usize, number as f64 / 10.0, &[innocent.clone(), request]);
+    }
+    assert_eq!(held(&log), [BAD]);
+    assert!(is_open(&mut log, &["first", "rare"], 1.0));
+    assert!(matches!(log.check(&innocent, seconds(1.0)), PromptCheck::EndedEndpoints(4)));
+}
+
+#[test]
+fn part_that_requests_are_answered_with_is_not_held_back() {
+    let mut log = CrashLog::default();
+    for number in 0..50u64 {
+        let at = number as f64 / 10.0;
+        add(&mut log, number as usize, at, &[prompt(number, &["first", "mid"])]);
+        log.on_sound(&"w".into(), &["first".into(), "mid".into()], seconds(at + 0.01), seconds(at));
+    }
+    assert!(held(&log).is_empty());
+}
+
+// A whole rack is lost: all its endpoints end at the same moment, and popular parts are in each.
+#[test]
+fn loss_of_many_endpoints_at_once_holds_no_part_in_use_back() {
+    let mut log = CrashLog::default();
+    log.on_sound(&"w".into(), &["first".into()], seconds(1.0), seconds(1.5));
+    for endpoint in 0..30 {
+        let at = 2.0 + endpoint as f64 / 100.0;
+        add(&mut log, endpoint, at, &[prompt(endpoint as u64, &["first"])]);
+    }
+    assert!(held(&log).is_empty());
+    log.on_sound(&"w".into(), &["first".into()], seconds(2.4), seconds(2.7));
+    for endpoint in 30..33 {
+        add(&mut log, endpoint, 4.0, &[prompt(endpoint as u64, &["first"])]);
+    }
+    assert!(held(&log).is_empty());
+}
+
+#[test]
+fn part_that_turns_bad_after_it_was_sound_is_held_back_after_five_endpoints() {
+    let mut log = CrashLog::default();
+    log.on_sound(&"w".into(), &[BAD.into()], seconds(1.0), seconds(1.5));
+    for number in 0..5 {
+        assert!(held(&log).is_empty());
+        add(&mut log, number as usize, 2.0 + number as f64 * 0.3, &[prompt(number, &[BAD])]);
+    }
+    assert_eq!(held(&log), [BAD]);
+}
+
+#[test]
+fn part_is_let_go_once_a_request_with_it_is_answered() {
+    let mut log = CrashLog::default();
+    for number in 0..3 {
+        add(&mut log, number as usize, number as f64, &[prompt(number, &["rare"])]);
+    }
+    assert_eq!(held(&log), ["rare"]);
+    // It began before the evidence, which it says nothing about.
+    log.on_sound(&"w".into(), &["rare".into()], seconds(0.0), seconds(3.0));
+    assert_eq!(held(&log), ["rare"]);
+    log.on_sound(&"w".into(), &["rare".into()], seconds(2.5), seconds(3.0));
+    assert!(held(&log).is_empty());
+    let changes = log.take_changes();
+    assert!(matches!(changes.last(), Some(PartChange::Released(..))), "{changes:?}");
+}
+
+// A caller that crashes endpoints together with a part of others must not take it from them.
+#[test]
+fn evidence_of_one_workspace_holds_a_part_back_for_it_alone() {
+    let mut log = CrashLog::default();
+    for number in 0..3 {
+        add(&mut log, number as usize, number as f64, &[prompt(number, &["shared"])]);
+    }
+    let other = Prompt { workspace: "v".into(), ..prompt(7, &["shared"]) };
+    assert!(!is_open(&mut log, &["shared"], 3.0));
+    assert_eq!(log.check(&other, seconds(3.0)), PromptCheck::Open);
+    add(&mut log, 3, 4.0, std::slice::from_ref(&other));
+    assert!(matches!(
+        log.check(&other, seconds(5.0)),
+        PromptCheck::EndedEndpoints(_) | PromptCheck::Held(_)
+    ));
+    let new = Prompt { request: 8, ..other };
+    assert!(matches!(log.check(&new, seconds(5.0)), PromptCheck::Held(_)));
+}
+
+#[test]
+fn endless_new_parts_neither_fill_the_log_nor_displace_those_of_others() {
+    let mut log = CrashLog::default();
+    log.on_sound(&"w".into(), &["first".into()], seconds(1.0), seconds(1.0));
+    for number in 0..20_000u64 {
+        let at = 1.0 + number as f64 / 10_000.0;
+        let parts: Vec<PartId> = (0..16).map(|part| format!("n{number}-{part}").into()).collect();
+        log.on_sound(&"greedy".into(), &parts, seconds(at), seconds(at));
+        if number % 100 == 0 {
+            let suspect = Prompt { request: number, workspace: "greedy".into(), parts };
+            add(&mut log, number as usize, at, &vec![suspect; 100]);
+        }
+    }
+    let (ends, sound, held) = log.sizes();
+    assert!(ends <= 64 && sound <= 1_024 && held <= 64, "{ends} {sound} {held}");
+    // Five ends are needed, as it is remembered that the part was sound.
+    for number in 0..4 {
+        add(&mut log, 30_000 + number as usize, 4.0 + number as f64, &[prompt(number, &["first"])]);
+    }
+    assert!(is_open(&mut log, &["first"], 9.0));
+}
+
+#[test]
+fn few_requests_are_tried_and_only_by_the_leader() {
+    let mut leader = CrashLog::default();
+    leader.set_leads(true);
+    let mut other = CrashLog::default();
+    for number in 0..3 {
+        add(&mut leader, number as usize, number as f64, &[prompt(number, &[BAD])]);
+    }
+    other.on_told(leader.held(), seconds(3.0));
+    let mut trials = Vec::new();
+    for second in 3..100_000u32 {
+        let at = Duration::from_secs(second.into());
+        let request = prompt(u64::from(second) + 10, &[BAD]);
+        assert!(matches!(other.check(&request, at), PromptCheck::Held(_)) || second > 86_000);
+        if leader.check(&request, at) == PromptCheck::Trial {
+            trials.push(second);
+            let end = end(second as usize, f64::from(second), &[request]);
+            leader.on_end(end, at);
+        }
+        leader.prune(at);
+    }
+    assert_eq!(trials, [62, 362, 1_862]);
+}
+
+// The model was replaced: the trial is answered.
+#[test]
+fn part_that_turns_sound_is_let_go_everywhere_after_a_trial() {
+    let mut leader = CrashLog::default();
+    leader.set_leads(true);
+    let mut other = CrashLog::default();
+    for number in 0..3 {
+        add(&mut leader, number as usize, number as f64, &[prompt(number, &[BAD])]);
+    }
+    other.on_told(leader.held(), seconds(3.0));
+    assert!(!is_open(&mut other, &[BAD], 70.0));
+    assert_eq!(leader.check(&prompt(9, &[BAD]), seconds(70.0)), PromptCheck::Trial);
+    assert!(!is_open(&mut leader, &[BAD], 70.0), "one request is tried at a time");
+    leader.on_sound(&"w".into(), &[BAD.into()], seconds(70.1), seconds(70.5));
+    other.on_told(leader.held(), seconds(71.0));
+    assert!(is_open(&mut leader, &[BAD], 71.0) && is_open(&mut other, &[BAD], 71.0));
+}
+
+#[test]
+fn new_leader_learns_what_is_held_back_without_new_crashes() {
+    let mut relay = CrashLog::default();
+    let told = HeldPart {
+        part: BAD.into(),
+        workspace: None,
+        first: seconds(1.0),
+        last: seconds(3.0),
+        ends: 3,
+        trials: 1,
+    };
+    relay.on_told(vec![told], seconds(3.5));
+    let now = seconds(3.0) + EVIDENCE_TERM * 2;
+    let mut leader = CrashLog::default();
+    for held in relay.held() {
+        leader.adopt(held, now);
+    }
+    assert!(!is_open(&mut leader, &[BAD], now.as_secs_f64()));
+    relay.on_told(leader.held(), now);
+    assert_eq!(held(&relay), [BAD]);
+}
+
+// A VM sees few requests, so a part may look worse to it than to the fleet.
+#[test]
+fn part_that_the_leader_does_not_hold_back_is_let_go() {
+    let mut member = CrashLog::default();
+    for number in 0..3 {
+        add(&mut member, number as usize, number as f64 / 10.0, &[prompt(number, &["rare"])]);
+    }
+    member.on_told(Vec::new(), seconds(0.5));
+    assert_eq!(held(&member), ["rare"], "the leader may not have been told yet");
+    member.on_told(Vec::new(), seconds(1.3));
+    assert!(held(&member).is_empty());
+    add(&mut member, 3, 1.4, &[prompt(3, &["rare"])]);
+    assert!(held(&member).is_empty());
+}
+
+// VMs tell each other what they know of a part's requests that were answered.
+#[test]
+fn answers_that_another_vm_saw_count() {
+    let mut member = CrashLog::default();
+    member.on_sound(&"w".into(), &["rare".into()], seconds(0.5), seconds(0.9));
+    let mut leader = CrashLog::default();
+    leader.set_leads(true);
+    for number in 0..3 {
+        add(&mut leader, number as usize, number as f64 / 10.0, &[prompt(number, &["rare"])]);
+    }
+    member.on_told(leader.held(), seconds(1.0));
+    assert_eq!(held(&member), ["rare"]);
+    for (part, began) in member.cleared() {
+        leader.on_told_sound(&part, began, seconds(1.1));
+    }
+    assert!(held(&leader).is_empty());
+}
+
+/// A random day: requests with popular and rare parts at endpoints that end by themselves, and
+/// perhaps a part that crashes them.
+struct Day {
+    rng: StdRng,
+    log: CrashLog,
+    /// The time between two ends of endpoints that have nothing to do with a request.
+    end_interval: f64,
+    /// How many of 1,000 requests have the bad part.
+    bad_permille: u32,
+}
+
+/// What a [`Day`] has shown.
+#[derive(Debug, Default)]
+struct Outcome {
+    sound: u32,
+    held_sound: u32,
+    bad_sent: u32,
+    crashes: u32,
+}
+
+impl Day {
+    /// Plays requests over 60 s at 18 endpoints; each is answered after up to a second.
+    fn play(mut self) -> Outcome {
+        let mut outcome = Outcome::default();
+        // The open requests of each endpoint, with the time at which they began to be answered and
+        // end.
+        let mut open: Vec<Vec<(Prompt, f64, f64)>> = vec![Vec::new(); 18];
+        let mut instances = vec![0usize; 18];
+        let mut next_end = self.end_interval;
+        for step in 0..6_000u64 {
+            let now = step as f64 / 100.0;
+            for number in 0..2 {
+                let is_bad = self.rng.random_range(0..1_000) < self.bad_permille;
+                let rare: u32 = self.rng.random_range(0..40);
+                let first = format!("first{}", self.rng.random_range(0..3));
+                let mut parts = vec![first, format!("mid{}", rare * rare / 40)];
+                if is_bad {
+                    parts.push(BAD.to_owned());
+                }
+                let workspace = format!("w{}", self.rng.random_range(0..5));
+                let request = Prompt {
+                    request: step * 2 + number,
+                    workspace: workspace.as_str().into(),
+                    parts: parts.iter().map(PartId::new).collect(),
+                };
+                outcome.sound += u32::from(!is_bad);
+                if self.log.check(&request, seconds(now)) != PromptCheck::Open {
+                    outcome.held_sound += u32::from(!is_bad);
+                    continue;
+                }
+                outcome.bad_sent += u32::from(is_bad);
+                let began = now + 0.02 + self.rng.random_range(0..50) as f64 / 1_000.0;
+                let ends = began + self.rng.random_range(100..1_000) as f64 / 1_000.0;
+                open[self.rng.random_range(0..18)].push((request, began, ends));
+            }
+            let is_due = now >= next_end;
+            if is_due {
+                next_end += self.end_interval;
+            }
+            let lost = self.rng.random_range(0..18);
+            for endpoint in 0..18 {
+                let has_bad = open[endpoint].iter().any(|(request, began, _)| {
+                    *began <= now && request.parts.iter().any(|part| part == BAD)
+                });
+                if has_bad || (is_due && endpoint == lost) {
+                    self.end(endpoint, now, &mut open, &mut instances);
+                    outcome.crashes += u32::from(has_bad);
+                    continue;
+                }
+                for (request, began, _) in open[endpoint].extract_if(.., |(_, _, end)| *end <= now)
+                {
+                    let (began, now) = (seconds(began), seconds(now));
+                    self.log.on_sound(&request.workspace, &request.parts, began, now);
+                }
+            }
+            if step % 25 == 0 {
+                self.log.prune(seconds(now));
+            }
+        }
+        outcome
+    }
+
+    fn end(
+        &mut self,
+        endpoint: usize,
+        now: f64,
+        open: &mut [Vec<(Prompt, f64, f64)>],
+        instances: &mut [usize],
+    ) {
+        let lost = std::mem::take(&mut open[endpoint]);
+        let suspects = lost.iter().filter(|(_, began, _)| now < began + 0.3);
+        let suspects: Vec<Prompt> = suspects.map(|(request, ..)| request.clone()).collect();
+        let mut ended = end(endpoint, now, &suspects);
+        ended.instance.1 = instances[endpoint] as u64;
+        instances[endpoint] += 1;
+        if !suspects.is_empty() {
+            self.log.on_end(ended, seconds(now));
+        }
+        // Those that were answered in part go on elsewhere, each once.
+        for (request, began, ends) in lost {
+            if began <= now && self.log.check(&request, seconds(now)) == PromptCheck::Open {
+                let other = self.rng.random_range(0..18);
+                open[other].push((request, now + 0.03, ends + 0.2));
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(60))]
+
+    // Endpoints end by themselves as often as ten times a second, and no part is bad.
+    #[test]
+    fn sound_parts_are_hardly_ever_held_back(seed in any::<u64>(), interval in 0.1f64..3.0) {
+        let rng = StdRng::seed_from_u64(seed);
+        let day = Day { rng, log: CrashLog::default(), end_interval: interval, bad_permille: 0 };
+        let outcome = day.play();
+        prop_assert!(outcome.held_sound * 100 <= outcome.sound, "{outcome:?}");
+    }
+
+    // Beside a bad part in up to 5% of all requests.
+    #[test]
+    fn bad_part_is_held_back_and_the_others_are_not(
+        seed in any::<u64>(),
+        interval in 0.3f64..30.0,
+        bad_permille in 5u32..50,
+    ) {
+        let rng = StdRng::seed_from_u64(seed);
+        let outcome = Day { rng, log: CrashLog::default(), end_interval: interval, bad_permille }.play();
+        // Five may teach, and three more requests may reach endpoints.
+        prop_assert!(outcome.crashes <= 8, "{outcome:?}");
+        prop_assert!(outcome.held_sound * 100 <= outcome.sound, "{outcome:?}");
+    }
+}
--- a/crates/entry/src/edge/pool.rs
+++ b/crates/entry/src/edge/pool.rs
@@ -184,6 +184,13 @@
         }
     }
 
+    /// Opens a connection and closes it again; returns whether it was refused, as it is where no
+    /// process listens.
+    pub(crate) async fn is_refused(&self, address: SocketAddr) -> bool {
+        let opened = socket::connect(self.local, address).await;
+        opened.is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+
     /// Closes the connections that have been idle for too long.
     pub fn prune(&self) {
         let now = Instant::now();
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -18,8 +18,8 @@
 
 use bamboocourse_decide::{
     ConfigStamp, DomainId, EndpointId, FastMap, Fence, Handover, Incarnation, Lease, LeaseEvent,
-    LeaseTerms, OrderReply, QuietPeriod, Relay, RelayAppointer, Roster, StoreEra, StorePosition,
-    VmId,
+    LeaseTerms, OrderReply, PartId, QuietPeriod, Relay, RelayAppointer, Roster, StoreEra,
+    StorePosition, VmId, WorkspaceId,
 };
 use log::info;
 use tokio::sync::{mpsc, watch};
@@ -29,6 +29,7 @@
 use crate::edge::pool::Pool;
 use crate::edge::{Protocol, Store, StoreError, StoreRows, WriteOutcome};
 use crate::process::active_fleet::ActiveFleet;
+use crate::process::crashes::Crashes;
 use crate::process::endpoint_list::{EndpointList, ListEntry, ListUpdate};
 use crate::process::link::OpenMessage;
 use crate::process::metrics::Metrics;
@@ -111,6 +112,7 @@
     pub(crate) endpoint_list: Arc<EndpointList>,
     pub(crate) scheduler: Arc<Scheduler>,
     pub(crate) quotas: Arc<Quotas>,
+    pub(crate) crashes: Arc<Crashes>,
     pub(crate) roster: Arc<RosterView>,
     pub(crate) metrics: Arc<Metrics>,
     /// The address where the leader accepts VMs; `None` if this VM leads or the leader is unknown.
@@ -143,6 +145,8 @@
     /// When the next plan may be made, and whether one is due.
     next_plan: Instant,
     plan_due: bool,
+    /// The held parts of prompts that the VMs that report to this one were last told.
+    told_parts: Vec<(PartId, Option<WorkspaceId>)>,
     /// Present while this VM holds the lease.
     leadership: Option<Leadership>,
     /// The fence and handover of the last leader that resigned, and when its message arrived.
@@ -237,6 +241,7 @@
             news: NewsLog::default(),
             next_plan: Instant::now(),
             plan_due: false,
+            told_parts: Vec::new(),
             leadership: None,
             handover: None,
             started: boot_now(),
@@ -259,6 +264,7 @@
                 }
             }
             self.broadcast_changes();
+            self.tell_held_parts();
         }
     }
 
@@ -346,6 +352,7 @@
 
     fn on_tick(&mut self) {
         let now = boot_now();
+        self.handles.crashes.set_leads(self.leadership.is_some());
         self.lease.handle(LeaseEvent::Tick(now));
         self.on_era(self.handles.store.era(), "the store", now);
         if let Some(leadership) = &mut self.leadership {
@@ -445,12 +452,14 @@
     /// Answers a VM that reports to this relay.
     fn answer_member(&mut self, peer: PeerId, status: &Status, now: Duration) -> LeadMessage {
         let lacks = self.handles.scheduler.on_member(status);
+        self.handles.crashes.on_report(status);
         let mut reply = self.store_updates(peer, status);
         reply.role = Role::Relay.into();
         reply.sent = status.sent;
         reply.vms = self.handles.quotas.vms() as u32;
         reply.funded = self.handles.quotas.can_grant();
         reply.current = self.is_current();
+        self.handles.crashes.tell(&mut reply);
         if let Some(known) = self.peers.get_mut(&peer) {
             if lacks {
                 known.waits_until = now + WAITING_TIME;
@@ -512,6 +521,8 @@
         reply.floor = leadership.token_pools.floor_weight(&status.vm);
         reply.vms = leadership.active_vms(now);
         self.handles.scheduler.on_told_leaving(status);
+        self.handles.crashes.on_report(status);
+        self.handles.crashes.tell(&mut reply);
         leadership.placement.on_unreachable(&status.unreached, now);
         leadership.placement.on_demand(&vm, status.demand.clone(), &status.adapters, now);
         if let Some(known) = self.peers.get_mut(&peer) {
@@ -597,6 +608,27 @@
         self.tell_waiting_members(now);
     }
 
+    /// Tells the VMs that report to this one which parts of prompts are held back, if that has changed.
+    fn tell_held_parts(&mut self) {
+        let held = self.handles.crashes.held();
+        if held == self.told_parts {
+            return;
+        }
+        self.told_parts = held;
+        let fence = self.leadership.as_ref().map(|leadership| leadership.fence);
+        for peer in self.peers.values() {
+            let (role, fence) = match (peer.position, fence) {
+                (Some(Position::Member), _) => (Role::Relay, 0),
+                (Some(Position::ReportingRelay), Some(fence)) => (Role::Leader, fence),
+                _ => continue,
+            };
+            let mut message = LeadMessage { fence, role: role.into(), ..LeadMessage::default() };
+            self.handles.crashes.tell(&mut message);
+            // If the connection has ended, PeerDisconnected removes the peer.
+            let _ = peer.sender.send(Body::Lead(message));
+        }
+    }
+
     /// Tells the members whose callers lack a model or an adapter what has changed at endpoints; the
     /// others learn of it with the reply to their next report.
     fn tell_waiting_members(&mut self, now: Duration) {
--- /dev/null
+++ b/crates/entry/src/process/crashes.rs
@@ -0,0 +1,245 @@
+//! The ends of endpoints that this VM sees or is told, and the parts of prompts that are held back
+//! because of them.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bamboocourse_decide::{
+    CrashLog, EndpointEnd, EndpointInstance, HeldPart, PartChange, PartId, Prompt, PromptCheck,
+    WorkspaceId,
+};
+use log::{info, warn};
+
+use crate::edge::clock::boot_now;
+use crate::process::metrics::Metrics;
+use crate::process::scheduler::Scheduler;
+use crate::wire::{self, Lead, Status};
+
+/// The log of crashes of one process, and its messages.
+#[derive(Debug)]
+pub(crate) struct Crashes {
+    log: Mutex<CrashLog>,
+    scheduler: Arc<Scheduler>,
+    metrics: Arc<Metrics>,
+}
+
+impl Crashes {
+    pub(crate) fn new(scheduler: Arc<Scheduler>, metrics: Arc<Metrics>) -> Self {
+        Self { log: Mutex::default(), scheduler, metrics }
+    }
+
+    /// Returns whether a request may be sent, for the first time or again.
+    pub(crate) fn check(&self, prompt: &Prompt) -> PromptCheck {
+        let check = self.lock().check(prompt, boot_now());
+        if check == PromptCheck::Trial {
+            info!(parts = prompt.parts.join(",").as_str(), workspace = prompt.workspace.as_str();
+                "a request is tried although a part of its prompt is held back");
+        }
+        check
+    }
+
+    /// Returns whether it is known that an instance of an endpoint has ended.
+    pub(crate) fn has_ended(&self, instance: &EndpointInstance) -> bool {
+        self.lock().has_ended(instance)
+    }
+
+    /// Records that an endpoint ended before it was seen to answer a request.
+    pub(crate) fn on_end(&self, instance: EndpointInstance, prompt: Prompt) {
+        let now = boot_now();
+        let (endpoint, born) = instance.clone();
+        let end = EndpointEnd { instance, at: now, suspects: vec![prompt], sound: Vec::new() };
+        if self.apply(|log| log.on_end(end, now)) {
+            info!(endpoint = endpoint.as_str(), born; "an endpoint has ended under requests");
+            self.metrics.endpoint_ends.add(1, &[]);
+            // The next report tells it.
+            self.scheduler.shortage.notify_one();
+        }
+    }
+
+    /// Records that a request is answered; the endpoint began to answer `ago`.
+    pub(crate) fn on_sound(&self, workspace: &WorkspaceId, parts: &[PartId], ago: Duration) {
+        if parts.is_empty() {
+            return;
+        }
+        let now = boot_now();
+        self.apply(|log| log.on_sound(workspace, parts, now.saturating_sub(ago), now));
+    }
+
+    /// Sets whether this VM leads.
+    pub(crate) fn set_leads(&self, leads: bool) {
+        self.lock().set_leads(leads);
+    }
+
+    /// Forgets what is too old, and updates the metrics.
+    pub(crate) fn prune(&self) {
+        let now = boot_now();
+        self.apply(|log| log.prune(now));
+        let (_, _, held) = self.lock().sizes();
+        self.metrics.held_parts.record(held as u64, &[]);
+    }
+
+    /// Adds to a report what is new since the number `told`, and returns the new number.
+    ///
+    /// `first` tells that it is the first report of a connection.
+    pub(crate) fn report(&self, status: &mut Status, told: u64, first: bool) -> u64 {
+        let now = boot_now();
+        let log = self.lock();
+        let (ends, told) = log.ends_after(told);
+        status.ended = ends.iter().map(|end| end_message(end, now)).collect();
+        status.sound_parts = sound_messages(&log.cleared(), now);
+        if first {
+            status.held_parts = held_messages(&log, now);
+        }
+        told
+    }
+
+    /// Applies what another VM reports.
+    pub(crate) fn on_report(&self, status: &Status) {
+        let now = boot_now();
+        self.apply(|log| {
+            for held in &status.held_parts {
+                log.adopt(read_held(held, now), now);
+            }
+            for end in &status.ended {
+                log.on_end(read_end(end, now), now);
+            }
+            for sound in &status.sound_parts {
+                let (part, began) = read_sound(sound, now);
+                log.on_told_sound(&part, began, now);
+            }
+        });
+    }
+
+    /// Adds to a message which parts this VM holds back.
+    pub(crate) fn tell(&self, message: &mut Lead) {
+        message.tells_parts = true;
+        message.held_parts = held_messages(&self.lock(), boot_now());
+    }
+
+    /// Applies what the VM tells that this one reports to.
+    pub(crate) fn on_told(&self, message: &Lead) {
+        if !message.tells_parts {
+            return;
+        }
+        let now = boot_now();
+        let held = message.held_parts.iter().map(|held| read_held(held, now)).collect();
+        self.apply(|log| log.on_told(held, now));
+    }
+
+    /// Returns the parts that are held back, in a fixed order.
+    pub(crate) fn held(&self) -> Vec<(PartId, Option<WorkspaceId>)> {
+        let held = self.lock().held().into_iter();
+        let mut held: Vec<_> = held.map(|held| (held.part, held.workspace)).collect();
+        held.sort();
+        held
+    }
+
+    /// Changes the log, and writes a line for each part whose state has changed.
+    fn apply<T>(&self, change: impl FnOnce(&mut CrashLog) -> T) -> T {
+        let (result, changes) = {
+            let mut log = self.lock();
+            (change(&mut log), log.take_changes())
+        };
+        let now = boot_now();
+        for change in changes {
+            match change {
+                PartChange::Suspected(part, ends) => {
+                    info!(part = part.as_str(), ends;
+                        "endpoints have ended under requests with a part of their prompts");
+                }
+                PartChange::Held(held) => {
+                    warn!(part = held.part.as_str(), ends = held.ends, trials = held.trials,
+                        workspace = held.workspace.as_deref().unwrap_or("all"),
+                        first_ms = now.saturating_sub(held.first).as_millis() as u64,
+                        last_ms = now.saturating_sub(held.last).as_millis() as u64;
+                        "a part of prompts is held back");
+                }
+                PartChange::Released(held, why) => {
+                    info!(part = held.part.as_str(), ends = held.ends, trials = held.trials, why,
+                        first_ms = now.saturating_sub(held.first).as_millis() as u64;
+                        "a part of prompts is no longer held back");
+                }
+            }
+        }
+        result
+    }
+
+    fn lock(&self) -> MutexGuard<'_, CrashLog> {
+        self.log.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns how long ago a time was, in milliseconds.
+fn age(at: Duration, now: Duration) -> u64 {
+    now.saturating_sub(at).as_millis() as u64
+}
+
+/// Returns the time that was some milliseconds ago.
+fn time_of(age: u64, now: Duration) -> Duration {
+    now.saturating_sub(Duration::from_millis(age))
+}
+
+fn sound_messages(sound: &[(PartId, Duration)], now: Duration) -> Vec<wire::SoundPart> {
+    let message = |(part, at): &(PartId, Duration)| wire::SoundPart {
+        part: part.to_string(),
+        age: age(*at, now),
+    };
+    sound.iter().map(message).collect()
+}
+
+fn read_sound(message: &wire::SoundPart, now: Duration) -> (PartId, Duration) {
+    (PartId::new(&message.part), time_of(message.age, now))
+}
+
+fn held_messages(log: &CrashLog, now: Duration) -> Vec<wire::HeldPart> {
+    let held = log.held().into_iter().map(|held| wire::HeldPart {
+        part: held.part.to_string(),
+        workspace: held.workspace.unwrap_or_default().to_string(),
+        first_age: age(held.first, now),
+        last_age: age(held.last, now),
+        ends: held.ends,
+        trials: held.trials,
+    });
+    held.collect()
+}
+
+fn read_held(message: &wire::HeldPart, now: Duration) -> HeldPart {
+    let workspace = (!message.workspace.is_empty()).then(|| (&message.workspace).into());
+    HeldPart {
+        part: PartId::new(&message.part),
+        workspace,
+        first: time_of(message.first_age, now),
+        last: time_of(message.last_age, now),
+        ends: message.ends,
+        trials: message.trials,
+    }
+}
+
+fn end_message(end: &EndpointEnd, now: Duration) -> wire::EndpointEnd {
+    let suspects = end.suspects.iter().map(|suspect| wire::Prompt {
+        request: suspect.request,
+        workspace: suspect.workspace.to_string(),
+        parts: suspect.parts.iter().map(ToString::to_string).collect(),
+    });
+    wire::EndpointEnd {
+        endpoint: end.instance.0.to_string(),
+        born: end.instance.1,
+        age: age(end.at, now),
+        suspects: suspects.collect(),
+        sound: sound_messages(&end.sound, now),
+    }
+}
+
+fn read_end(message: &wire::EndpointEnd, now: Duration) -> EndpointEnd {
+    let suspects = message.suspects.iter().map(|suspect| Prompt {
+        request: suspect.request,
+        workspace: (&suspect.workspace).into(),
+        parts: suspect.parts.iter().map(PartId::new).collect(),
+    });
+    EndpointEnd {
+        instance: (message.endpoint.as_str().into(), message.born),
+        at: time_of(message.age, now),
+        suspects: suspects.collect(),
+        sound: message.sound.iter().map(|sound| read_sound(sound, now)).collect(),
+    }
+}
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -22,6 +22,7 @@
 use crate::process::active_fleet::ActiveFleet;
 use crate::process::asks::{Asks, RELAY_RETRY_DELAY, grant_message};
 use crate::process::coordinator::{CoordinatorEvent, PeerId};
+use crate::process::crashes::Crashes;
 use crate::process::endpoint_list::{EndpointList, ListEntry, ListUpdate};
 use crate::process::metrics::Metrics;
 use crate::process::quotas::{Quotas, TokensRefused};
@@ -61,6 +62,7 @@
     pub(crate) endpoint_list: Arc<EndpointList>,
     pub(crate) scheduler: Arc<Scheduler>,
     pub(crate) quotas: Arc<Quotas>,
+    pub(crate) crashes: Arc<Crashes>,
     pub(crate) events: mpsc::UnboundedSender<CoordinatorEvent>,
     pub(crate) budget: ByteBudget,
     pub(crate) roster: Arc<RosterView>,
@@ -454,6 +456,8 @@
         // told it.
         let mut known = ConfigStamp::MAX;
         let mut full = true;
+        // The number of the last end of an endpoint that the other VM was told.
+        let mut told_ends = 0;
         // The leader's clock in its last reply, and this VM's clock when the reply arrived.
         let mut clock: Option<(u64, Duration)> = None;
         loop {
@@ -551,6 +555,7 @@
             status.heard = clock.map_or(0, |(leader, at)| {
                 leader + (boot_now().saturating_sub(at)).as_millis() as u64
             });
+            told_ends = self.crashes.report(&mut status, told_ends, full);
             full = false;
             if framed.send(Body::Status(status)).await.is_err() {
                 return end;
@@ -631,6 +636,7 @@
                 vanished: message.vanished.iter().map(EndpointId::new).collect(),
             });
         }
+        self.crashes.on_told(message);
         match message.role() {
             Role::None => {}
             Role::Relay => self.apply_relay(message),
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -56,6 +56,9 @@
     pub(crate) asks: Counter<u64>,
     pub(crate) withheld: Counter<u64>,
     pub(crate) broken_off: Counter<u64>,
+    pub(crate) endpoint_ends: Counter<u64>,
+    pub(crate) held_requests: Counter<u64>,
+    pub(crate) held_parts: Gauge<u64>,
     unavailable: Counter<u64>,
     leaving: Gauge<u64>,
     quiet: Gauge<u64>,
@@ -85,6 +88,13 @@
             asks: counter(&meter, "asks", "requests whose tokens another VM asked this relay for"),
             withheld: counter(&meter, "withheld", "sends to endpoints that leave or want quiet"),
             broken_off: counter(&meter, "broken_off", "requests that an endpoint broke off"),
+            endpoint_ends: counter(&meter, "endpoint_ends", "endpoints that ended under requests"),
+            held_requests: counter(
+                &meter,
+                "held_requests",
+                "requests refused or not sent again as a part of their prompt is held back",
+            ),
+            held_parts: gauge(&meter, "held_parts", "parts of prompts that are held back"),
             unavailable: counter(
                 &meter,
                 "unavailable",
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -19,6 +19,7 @@
 use crate::process::active_fleet::ActiveFleet;
 use crate::process::asks::Asks;
 use crate::process::coordinator::{Coordinator, CoordinatorEvent, Handles};
+use crate::process::crashes::Crashes;
 use crate::process::endpoint_list::EndpointList;
 use crate::process::follow::{self, Sink};
 use crate::process::link::{self, LeaderLink, PeerServices};
@@ -80,6 +81,7 @@
         metrics.observe_era(store.clone());
         let (events, event_receiver) = mpsc::unbounded_channel();
         let scheduler = Arc::new(Scheduler::new(settings.domain.clone(), metrics.clone()));
+        let crashes = Arc::new(Crashes::new(scheduler.clone(), metrics.clone()));
         let roster = Arc::new(RosterView::new(settings.clone()));
         let (relay_requests, relay_receiver) = mpsc::unbounded_channel();
         let quotas = Arc::new(Quotas::new(
@@ -100,6 +102,7 @@
             active_fleet: active_fleet.clone(),
             scheduler: scheduler.clone(),
             quotas: quotas.clone(),
+            crashes: crashes.clone(),
             pool: pool.clone(),
             metrics: metrics.clone(),
             open: requests.clone(),
@@ -122,6 +125,7 @@
             endpoint_list: endpoint_list.clone(),
             scheduler: scheduler.clone(),
             quotas: quotas.clone(),
+            crashes: crashes.clone(),
             roster: roster.clone(),
             metrics: metrics.clone(),
             leader,
@@ -134,6 +138,7 @@
             endpoint_list: endpoint_list.clone(),
             scheduler: scheduler.clone(),
             quotas: quotas.clone(),
+            crashes: crashes.clone(),
             events: events.clone(),
             budget: pool.budget().clone(),
             roster: roster.clone(),
@@ -162,7 +167,7 @@
         let services = PeerServices { events: events.clone(), quotas: quotas.clone(), metrics };
         tasks.spawn(link::accept(peer, services, pool.budget().clone()));
         tasks.spawn(link.run());
-        tasks.spawn(run_upkeep(scheduler, pool));
+        tasks.spawn(run_upkeep(scheduler, crashes, pool));
         info!(vm = settings.vm.as_str(), domain = settings.domain.as_str(), life,
             front:% = address, first = settings.first_start; "an entry VM has started");
         Ok(Self {
@@ -224,13 +229,14 @@
 
 /// Gives free slots to waiting requests and prunes idle connections at intervals, since time alone
 /// can make an endpoint available again or a connection too old.
-async fn run_upkeep(scheduler: Arc<Scheduler>, pool: Pool) {
+async fn run_upkeep(scheduler: Arc<Scheduler>, crashes: Arc<Crashes>, pool: Pool) {
     let mut ticks = tokio::time::interval(UPKEEP_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         scheduler.dispatch_waiting();
         scheduler.record_availability();
+        crashes.prune();
         pool.prune();
     }
 }
--- a/crates/entry/src/request/loss.rs
+++ b/crates/entry/src/request/loss.rs
@@ -1,13 +1,24 @@
-//! What happens when an endpoint breaks off a request.
+//! What follows when an endpoint breaks off a request, or has ended under others like it.
 
-use tokio::time::Instant;
+use std::time::Duration;
 
-use bamboocourse_decide::PartId;
+use bamboocourse_decide::{
+    Availability, ErrorKind, HeldPart, Prompt, PromptCheck, Refusal, SOUND_STREAM_TIME,
+};
 use log::info;
+use tokio::time::Instant;
 
 use super::{Job, Pipeline};
+use crate::edge::clock::boot_now;
 use crate::process::scheduler::EndpointSlot;
 
+/// How long a request waits for the test whether an endpoint that broke it off has ended; within one
+/// region, a connection is refused within some milliseconds.
+const END_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+/// When the test is repeated if the endpoint still accepts connections: while a process ends, its
+/// listener may close after its connections.
+const END_CHECK_DELAY: Duration = Duration::from_millis(50);
+
 /// How far a request was at an endpoint that broke it off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Progress {
@@ -31,20 +42,91 @@
 
 impl Pipeline {
     /// Records that an endpoint broke a request off.
-    pub(super) fn on_broken_off(&self, job: &Job, slot: &EndpointSlot, progress: Progress) {
-        let streaming_ms = match progress {
-            Progress::Streaming(first) => first.elapsed().as_millis() as u64,
-            Progress::Sent | Progress::Begun => 0,
+    ///
+    /// If the endpoint's process has ended before it was seen to answer the request, the request may
+    /// have ended it.
+    pub(super) async fn on_broken_off(&self, job: &Job, slot: &EndpointSlot, progress: Progress) {
+        let streaming = match progress {
+            Progress::Streaming(first) => first.elapsed(),
+            Progress::Sent | Progress::Begun => Duration::ZERO,
         };
         info!(id = job.request.id.as_str(), endpoint = slot.name.as_str(), born = slot.instance,
-            progress = progress.name(), streaming_ms,
+            progress = progress.name(), streaming_ms = streaming.as_millis() as u64,
             filled_percent = (slot.utilization * 100.0) as u64,
-            parts = join_parts(&job.request.parts).as_str(); "an endpoint broke a request off");
+            parts = job.prompt.parts.join(",").as_str(); "an endpoint broke a request off");
         self.metrics.broken_off.add(1, &[]);
+        // An endpoint that leaves is expected to end.
+        if streaming >= SOUND_STREAM_TIME || slot.availability() == Availability::Leaving {
+            return;
+        }
+        let instance = (slot.name.clone(), slot.instance);
+        let pool = self.pool.clone();
+        let address = slot.address;
+        let check = tokio::time::timeout(END_CHECK_TIMEOUT, pool.is_refused(address));
+        match check.await {
+            _ if self.crashes.has_ended(&instance) => {}
+            Ok(true) => {}
+            Ok(false) => {
+                let (crashes, prompt) = (self.crashes.clone(), job.prompt.clone());
+                tokio::spawn(async move {
+                    tokio::time::sleep(END_CHECK_DELAY).await;
+                    if crashes.has_ended(&instance) || pool.is_refused(address).await {
+                        crashes.on_end(instance, prompt);
+                    }
+                });
+                return;
+            }
+            // Neither accepted nor refused: the link may be cut.
+            Err(_) => return,
+        }
+        self.crashes.on_end(instance, job.prompt.clone());
+    }
+
+    /// Records that an endpoint has answered a request, from `began` on.
+    pub(super) fn on_answered(&self, job: &Job, began: Instant) {
+        self.crashes.on_sound(&job.prompt.workspace, &job.prompt.parts, began.elapsed());
+    }
+
+    /// Refuses a request that has not been sent if a part of its prompt is held back; returns whether
+    /// it is sent as a trial.
+    pub(super) fn check_prompt(&self, prompt: &Prompt) -> Result<bool, Refusal> {
+        match self.crashes.check(prompt) {
+            PromptCheck::Open | PromptCheck::EndedEndpoints(_) => Ok(false),
+            PromptCheck::Trial => Ok(true),
+            PromptCheck::Held(held) => {
+                self.metrics.held_requests.add(1, &[]);
+                Err(Refusal::not_run(ErrorKind::PromptHeld, held_detail(&held)))
+            }
+        }
+    }
+
+    /// Returns the refusal of a request that must not be sent now; `runs` counts the sends that may
+    /// have run.
+    pub(super) fn check_send(&self, job: &Job, runs: u32) -> Option<Refusal> {
+        if job.is_trial && runs == 0 {
+            return None;
+        }
+        let (kind, detail) = match self.crashes.check(&job.prompt) {
+            PromptCheck::Open | PromptCheck::Trial => return None,
+            PromptCheck::Held(held) => (ErrorKind::PromptHeld, held_detail(&held)),
+            PromptCheck::EndedEndpoints(ends) => {
+                let detail = format!("{ends} endpoints have ended under the request");
+                (ErrorKind::EndpointFailed, detail)
+            }
+        };
+        self.metrics.held_requests.add(1, &[]);
+        let build = if runs == 0 { Refusal::not_run } else { Refusal::unknown };
+        Some(build(kind, detail))
     }
 }
 
-/// Returns the ids of parts for a log line.
-fn join_parts(parts: &[PartId]) -> String {
-    parts.join(",")
+/// Says which part of a prompt is held back, and why.
+fn held_detail(held: &HeldPart) -> String {
+    let last = boot_now().saturating_sub(held.last);
+    format!(
+        "{} endpoints have ended under requests with the part {} of the prompt, the last one {} s ago",
+        held.ends,
+        held.part,
+        last.as_secs()
+    )
 }
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -17,8 +17,8 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    Arrivals, ErrorKind, FleetConfig, FleetRoute, FleetWorkspace, Refusal, Requirements,
-    SendOutcome, ServiceId, Shortage, WorkspaceId,
+    Arrivals, ErrorKind, FleetConfig, FleetRoute, FleetWorkspace, Prompt, Refusal, Requirements,
+    SendOutcome, ServiceId, Shortage, WorkspaceId, hash_of,
 };
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -31,6 +31,7 @@
 use crate::edge::pool::Pool;
 use crate::edge::{CallerRequest, Protocol, model_name};
 use crate::process::active_fleet::ActiveFleet;
+use crate::process::crashes::Crashes;
 use crate::process::metrics::Metrics;
 use crate::process::quotas::{Quotas, TokenGrant, TokensRefused};
 use crate::process::scheduler::{EndpointSlot, Scheduler};
@@ -69,6 +70,7 @@
     pub(crate) active_fleet: Arc<ActiveFleet>,
     pub(crate) scheduler: Arc<Scheduler>,
     pub(crate) quotas: Arc<Quotas>,
+    pub(crate) crashes: Arc<Crashes>,
     pub(crate) pool: Pool,
     pub(crate) metrics: Arc<Metrics>,
     /// The number of requests whose response is not complete yet.
@@ -84,6 +86,10 @@
     pub(crate) route: FleetRoute,
     pub(crate) service: ServiceId,
     pub(crate) workspace: Option<WorkspaceId>,
+    pub(crate) prompt: Prompt,
+    /// Whether it is sent although a part of its prompt is held back, to learn whether that is sound
+    /// again.
+    pub(crate) is_trial: bool,
     pub(crate) urgency: u8,
     /// When the caller must have its final response.
     pub(crate) deadline: Instant,
@@ -202,6 +208,12 @@
         let limit = fleet.limits.body_bytes;
         let body = read_caller_body(body, limit, deadline).await?;
         let urgency = workspace.and_then(|workspace| workspace.urgency).unwrap_or(route.urgency);
+        let prompt = Prompt {
+            request: hash_of(&request.id),
+            workspace: workspace.map(|workspace| workspace.name.clone()).unwrap_or_default(),
+            parts: request.parts.clone(),
+        };
+        let is_trial = self.check_prompt(&prompt)?;
         let admission = match workspace {
             Some(workspace) if workspace.rate > 0.0 => {
                 let tokens = request
@@ -229,6 +241,8 @@
             route: route.clone(),
             service: service.clone(),
             workspace: workspace.map(|workspace| workspace.name.clone()),
+            prompt,
+            is_trial,
             urgency,
             deadline,
             target_deadline: boot_now()
@@ -257,8 +271,16 @@
         // replace this one, or the caller would be told that the request was not run.
         let mut failure: Option<Refusal> = None;
         loop {
-            let slot = match self.acquire_slot(&job, &needs, trace).await {
+            // The prompt may have been held back since the request was admitted or last sent.
+            let acquired = match self.check_send(&job, runs) {
+                Some(refusal) => Err(refusal),
+                None => self.acquire_slot(&job, &needs, trace).await,
+            };
+            let slot = match acquired {
                 Ok(slot) => slot,
+                Err(refusal) if refusal.kind == ErrorKind::PromptHeld && runs > 0 => {
+                    return Err(refusal);
+                }
                 Err(refusal) => {
                     if rejections + runs == 0
                         && let Some((workspace, admission)) = admission
@@ -343,7 +365,7 @@
             let relay = Relay::new(self.clone(), job.clone(), response, trace.take());
             return Ok(build_response(status, headers, relay.into_body()));
         }
-        let EndpointResponse { head, body, connection, idle, mut slot } = response;
+        let EndpointResponse { head, body, connection, idle, mut slot, began } = response;
         let until = self.hang_deadline(job, runs);
         let reading =
             tokio::time::timeout_at(until, connection.read_body(body, MAX_RESPONSE_BYTES));
@@ -351,7 +373,7 @@
             Ok(Ok(bytes)) => bytes,
             Ok(Err(error)) => {
                 slot.set_outcome(SendOutcome::Failed);
-                self.on_broken_off(job, &slot, Progress::Begun);
+                self.on_broken_off(job, &slot, Progress::Begun).await;
                 let detail = format!("{} broke its answer off ({error:?})", slot.name);
                 trace.note("answer broken off");
                 return Err(Refusal::unknown(ErrorKind::ResponseTruncated, detail));
@@ -373,6 +395,7 @@
             }
         } else {
             slot.set_outcome(SendOutcome::Completed);
+            self.on_answered(job, began);
         }
         trace.end_complete(status);
         let headers = self.protocol.forwarded_headers(&head.headers);
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bamboocourse_decide::{Arrivals, EndpointId, SendOutcome};
+use bamboocourse_decide::{Arrivals, EndpointId, ErrorKind, SOUND_STREAM_TIME, SendOutcome};
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -63,6 +63,8 @@
     partial: BytesMut,
     /// When the first whole event arrived.
     first_event: Option<Instant>,
+    /// Whether the endpoint counts as having answered the request.
+    sound: bool,
     /// Whether the body has a length or chunks, which tell that it is complete.
     framed: bool,
 }
@@ -136,7 +138,11 @@
                 Chunk::Events(events, last_id) => {
                     if let Some(source) = &mut self.source {
                         source.slot.set_outcome(SendOutcome::Neutral);
-                        source.first_event.get_or_insert_with(Instant::now);
+                        let first = *source.first_event.get_or_insert_with(Instant::now);
+                        if !source.sound && first.elapsed() >= SOUND_STREAM_TIME {
+                            source.sound = true;
+                            self.pipeline.on_answered(&self.job, first);
+                        }
                     }
                     self.last_event = last_id.or(self.last_event);
                     let disconnects_at = Instant::now() + super::disconnect_time(&self.job.route);
@@ -147,6 +153,9 @@
                 Chunk::End => {
                     if let Some(mut source) = self.source.take() {
                         source.slot.set_outcome(SendOutcome::Completed);
+                        if let Some(first) = source.first_event.filter(|_| !source.sound) {
+                            self.pipeline.on_answered(&self.job, first);
+                        }
                         if let Some(idle) = source.idle {
                             source.connection.keep(idle);
                         }
@@ -158,7 +167,9 @@
                     self.trace.note(why);
                     if let Some(mut source) = self.source.take() {
                         source.slot.set_outcome(SendOutcome::Failed);
-                        self.pipeline.on_broken_off(&self.job, &source.slot, source.progress());
+                        let broken =
+                            self.pipeline.on_broken_off(&self.job, &source.slot, source.progress());
+                        broken.await;
                     }
                     chunk = match self.resume().await {
                         Resumed::Moved => self.read_chunk().await,
@@ -211,6 +222,12 @@
         let mut rejections = 0;
         let mut arrivals = Arrivals::first();
         while self.runs < self.job.route.attempts && rejections < super::MAX_REJECTIONS {
+            if let Some(refusal) = self.pipeline.check_send(&self.job, self.runs) {
+                return Resumed::Failed(match refusal.kind {
+                    ErrorKind::PromptHeld => "a part of the prompt is held back",
+                    _ => "endpoints have ended under the request",
+                });
+            }
             let mut needs = self.job.requirements();
             needs.tried = self.tried.clone();
             let acquiring = self.pipeline.acquire_slot(&self.job, &needs, &mut self.trace);
@@ -281,7 +298,7 @@
         let framed =
             [TRANSFER_ENCODING, CONTENT_LENGTH].iter().any(|name| head.headers.contains_key(name));
         let (partial, first_event) = (BytesMut::new(), None);
-        Self { body, connection, idle, slot, partial, first_event, framed }
+        Self { body, connection, idle, slot, partial, first_event, sound: false, framed }
     }
 
     /// Returns how far the stream is at this endpoint.
--- a/crates/entry/src/request/send.rs
+++ b/crates/entry/src/request/send.rs
@@ -35,6 +35,8 @@
     /// the connection idle, if the endpoint says so.
     pub(super) idle: Option<Option<Duration>>,
     pub(super) slot: EndpointSlot,
+    /// When the head arrived.
+    pub(super) began: Instant,
 }
 
 /// The result of one send.
@@ -92,7 +94,8 @@
             }
         };
         // An answer to another request may have come since the endpoint was picked.
-        let may_send = || slot.availability() == Availability::Open;
+        let may_send =
+            || slot.availability() == Availability::Open && self.check_send(job, runs).is_none();
         let result = {
             let sending = self.pool.send_if(slot.address, request, may_send);
             tokio::pin!(sending);
@@ -125,7 +128,7 @@
             }
             Ok(Err(SendError::Unknown(why))) => {
                 trace.note("connection lost");
-                self.on_broken_off(job, &slot, Progress::Sent);
+                self.on_broken_off(job, &slot, Progress::Sent).await;
                 slot.set_outcome(SendOutcome::Failed);
                 let detail = format!("{} broke off: {why}", slot.name);
                 return SendResult::Unknown(Refusal::unknown(ErrorKind::EndpointFailed, detail));
@@ -196,7 +199,9 @@
             return SendResult::Unknown(Refusal::unknown(ErrorKind::EndpointFailed, detail));
         }
         trace.record_first_byte();
-        SendResult::Response(Box::new(EndpointResponse { head, body, connection, idle, slot }))
+        let began = Instant::now();
+        let response = EndpointResponse { head, body, connection, idle, slot, began };
+        SendResult::Response(Box::new(response))
     }
 
     /// Returns until when to wait for a response, or for its body, before the request is sent to
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -103,6 +103,79 @@
     /// from a copy, until another VM has sent its own.
     #[prost(bool, tag = "24")]
     pub wants_config: bool,
+    /// The endpoints that ended under requests, of which the receiver was not told on this connection.
+    #[prost(message, repeated, tag = "31")]
+    pub ended: ::prost::alloc::vec::Vec<EndpointEnd>,
+    /// The parts of prompts that are held back although requests with them were answered since.
+    #[prost(message, repeated, tag = "32")]
+    pub sound_parts: ::prost::alloc::vec::Vec<SoundPart>,
+    /// The parts of prompts that the sender holds back; only in the first report of a connection.
+    #[prost(message, repeated, tag = "33")]
+    pub held_parts: ::prost::alloc::vec::Vec<HeldPart>,
+}
+/// The end of an endpoint's process under requests that it had not been seen to answer.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct EndpointEnd {
+    /// The name of the endpoint.
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// The start of the endpoint's process, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    /// How long ago it was first seen to have ended, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age: u64,
+    /// These requests.
+    #[prost(message, repeated, tag = "4")]
+    pub suspects: ::prost::alloc::vec::Vec<Prompt>,
+    /// For parts of their prompts, when other requests with them were last answered.
+    #[prost(message, repeated, tag = "5")]
+    pub sound: ::prost::alloc::vec::Vec<SoundPart>,
+}
+/// A request, as far as its prompt is concerned.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Prompt {
+    /// A hash of the request's id.
+    #[prost(fixed64, tag = "1")]
+    pub request: u64,
+    /// The name of the workspace.
+    #[prost(string, tag = "2")]
+    pub workspace: ::prost::alloc::string::String,
+    /// The ids of the parts that other requests may share.
+    #[prost(string, repeated, tag = "3")]
+    pub parts: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+/// A part of prompts, and that a request with it was answered.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SoundPart {
+    /// The id of the part.
+    #[prost(string, tag = "1")]
+    pub part: ::prost::alloc::string::String,
+    /// How long ago the last such request began to be answered, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age: u64,
+}
+/// A part of prompts that is held back.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct HeldPart {
+    /// The id of the part.
+    #[prost(string, tag = "1")]
+    pub part: ::prost::alloc::string::String,
+    /// The only workspace for which it is held back; empty for all.
+    #[prost(string, tag = "2")]
+    pub workspace: ::prost::alloc::string::String,
+    /// How long ago the first and the last endpoint ended that count against it, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub first_age: u64,
+    /// See `first_age`.
+    #[prost(uint64, tag = "4")]
+    pub last_age: u64,
+    /// The number of these endpoints.
+    #[prost(uint32, tag = "5")]
+    pub ends: u32,
+    /// The number of requests that were tried with it since.
+    #[prost(uint32, tag = "6")]
+    pub trials: u32,
 }
 /// A process instance of an endpoint that leaves.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -292,6 +365,12 @@
     /// Those of `live` whose entries have vanished and may come back, or else are removed later.
     #[prost(string, repeated, tag = "31")]
     pub vanished: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// All parts of prompts that the sender holds back, if `tells_parts` is set.
+    #[prost(message, repeated, tag = "32")]
+    pub held_parts: ::prost::alloc::vec::Vec<HeldPart>,
+    /// Whether the message says which parts the sender holds back.
+    #[prost(bool, tag = "33")]
+    pub tells_parts: bool,
 }
 /// The relays of the fleet.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/entry/src/wire/mod.rs
+++ b/crates/entry/src/wire/mod.rs
@@ -12,8 +12,9 @@
 
 pub(crate) use fleet::frame::Body;
 pub(crate) use fleet::{
-    AdapterUse, Ask, Ceiling, Demand, FloorSpend, Frame, Grant, Held, HeldModel, Lead,
-    LeavingEndpoint, ListRow, Outcome, Position, Refund, Relay, Role, Roster, Spend, Status, Wait,
+    AdapterUse, Ask, Ceiling, Demand, EndpointEnd, FloorSpend, Frame, Grant, Held, HeldModel,
+    HeldPart, Lead, LeavingEndpoint, ListRow, Outcome, Position, Prompt, Refund, Relay, Role,
+    Roster, SoundPart, Spend, Status, Wait,
 };
 
 impl Status {
