Relays that reach no leader tell each other which endpoints ended

Found by the fleet simulation (domain_that_is_cut_off_acts_alone_and_agrees_afterwards failed: VM 4 of 8 held nothing back within 20 s): the two relays of a cut-off domain never shared what their members saw. A relay without a leader asks the other relays for it, those of its domain first from now on, and its report brings the evidence along.

--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -427,6 +427,10 @@
         if let Some(known) = self.peers.get_mut(&peer) {
             known.position = Some(position);
         }
+        if position == Position::Candidate {
+            // Relays that reach no leader learn from each other which endpoints ended.
+            self.handles.crashes.on_report(status);
+        }
         let reply = match position {
             Position::Member if self.serves_members() => self.answer_member(peer, status, now),
             Position::Candidate if self.leadership.is_some() => self.answer_candidate(status, now),
--- a/crates/entry/src/process/roster.rs
+++ b/crates/entry/src/process/roster.rs
@@ -149,10 +149,13 @@
     }
 
     /// Returns where a relay looks for the leader if the VM that the lease's row names does not lead:
-    /// the leader that the roster names, then the other relays, of which one may know a newer roster.
+    /// the leader that the roster names, then the other relays, those of its domain first, of which
+    /// one may know a newer roster.
     pub(crate) fn leader_choices(&self) -> Vec<SocketAddr> {
         let state = self.state();
-        let relays = state.roster.relays.iter().map(|relay| relay.peer);
+        let mut relays: Vec<&Relay> = state.roster.relays.iter().collect();
+        relays.sort_by_key(|relay| relay.domain != self.settings.domain);
+        let relays = relays.into_iter().map(|relay| relay.peer);
         let named = state.roster.leader_address().into_iter().chain(relays);
         named.filter(|peer| *peer != self.settings.peer).collect()
     }
