--- a/crates/entry/src/process/coordinator/lease.rs
+++ b/crates/entry/src/process/coordinator/lease.rs
@@ -140,6 +140,10 @@
         if let Some((position, row)) = &read {
             self.restore_floors(*position, row, now);
             self.handles.roster.update(&row.roster);
+            if row.lease.holder != self.handles.settings.vm || self.leadership.is_none() {
+                let to_local = |at| self.to_local_time(at, now);
+                self.handles.crashes.adopt_rows(&row.held, to_local);
+            }
             let vm = self.handles.settings.vm.as_str();
             if row.floors.contains_key(vm) && !self.handles.settings.first_start {
                 self.handles.roster.set_position(Position::Relay, "it holds a floor");
@@ -275,6 +279,10 @@
             (None, None) if self.lease.is_first_start() => proposal.position.era,
             (None, None) => 0,
         };
+        let held = match &self.leadership {
+            Some(_) => self.handles.crashes.held_rows(to_store),
+            None => former.map_or_else(Default::default, |row| row.held.clone()),
+        };
         let row = LeaderRow {
             lease: proposal.row,
             peer,
@@ -286,6 +294,7 @@
             orderer,
             orders_from,
             roster,
+            held,
         };
         let value = match row.encode(self.handles.settings.bounds.row_limit) {
             Ok(value) => Bytes::from(value),
--- a/crates/entry/src/process/coordinator/row.rs
+++ b/crates/entry/src/process/coordinator/row.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use bamboocourse_decide::{
-    FloorHistory, LeaseRow, PoolRecord, Roster, StoreEra, Tokens, UnreportedSpend, VmId,
+    FloorHistory, LeaseRow, PartId, PoolRecord, Roster, StoreEra, Tokens, UnreportedSpend, VmId,
     WorkspaceId,
 };
 use serde::{Deserialize, Serialize};
@@ -37,6 +37,25 @@
     pub floors: BTreeMap<VmId, u64>,
     /// The relays, for VMs that start.
     pub roster: Roster,
+    /// The parts of prompts that are held back.
+    pub held: Vec<HeldPartRow>,
+}
+
+/// A part of prompts that is held back; times are in milliseconds of the store's clock.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldPartRow {
+    /// The part.
+    pub part: PartId,
+    /// The only workspace whose requests are held back; `None` for all.
+    pub workspace: Option<WorkspaceId>,
+    /// When the first and the last endpoint ended that count against the part.
+    pub first: u64,
+    /// See `first`.
+    pub last: u64,
+    /// The number of these endpoints.
+    pub ends: u32,
+    /// The number of requests that were tried since.
+    pub trials: u32,
 }
 
 /// The row's JSON form: VMs are numbered, so that each name is stored only once.
@@ -55,6 +74,8 @@
     floors: Vec<(usize, u64)>,
     #[serde(default)]
     roster: Roster,
+    #[serde(default)]
+    held: Vec<HeldPartRow>,
 }
 
 /// A pool's JSON form; the first number of each entry is an index into [`Packed::vms`].
@@ -107,6 +128,7 @@
     ///     past: Default::default(),
     ///     floors: Default::default(),
     ///     roster: Default::default(),
+    ///     held: Default::default(),
     /// };
     /// let bytes = row.encode(65_536).expect("the row fits");
     /// assert_eq!(LeaderRow::decode(&bytes), Ok(row));
@@ -157,8 +179,20 @@
         let past = past.collect::<Result<_, String>>()?;
         let floors = packed.floors.into_iter().map(|(vm, weight)| Ok((name(vm)?, weight)));
         let floors = floors.collect::<Result<_, String>>()?;
-        let roster = packed.roster;
-        Ok(Self { lease, peer, era, noted, pools, orderer, orders_from, past, floors, roster })
+        let (roster, held) = (packed.roster, packed.held);
+        Ok(Self {
+            lease,
+            peer,
+            era,
+            noted,
+            pools,
+            orderer,
+            orders_from,
+            past,
+            floors,
+            roster,
+            held,
+        })
     }
 
     /// Returns the row's JSON, whatever its length.
@@ -190,6 +224,7 @@
             past,
             floors,
             roster: self.roster.clone(),
+            held: self.held.clone(),
         };
         serde_json::to_vec(&packed).map_err(|error| error.to_string())
     }
--- a/crates/entry/src/process/crashes.rs
+++ b/crates/entry/src/process/crashes.rs
@@ -1,6 +1,7 @@
 //! The ends of endpoints that this VM sees or is told, and the parts of prompts that are held back
 //! because of them.
 
+use std::cmp::Reverse;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -11,10 +12,14 @@
 use log::{info, warn};
 
 use crate::edge::clock::boot_now;
+use crate::process::coordinator::row::HeldPartRow;
 use crate::process::metrics::Metrics;
 use crate::process::scheduler::Scheduler;
 use crate::wire::{self, Lead, Status};
 
+/// The most held parts that the lease's row keeps.
+const MAX_HELD_ROWS: usize = 16;
+
 /// The log of crashes of one process, and its messages.
 #[derive(Debug)]
 pub(crate) struct Crashes {
@@ -126,6 +131,43 @@
         self.apply(|log| log.on_told(held, now));
     }
 
+    /// Returns the parts that are held back, for the lease's row; `to_store` converts times to the
+    /// store's clock.
+    pub(crate) fn held_rows(&self, to_store: impl Fn(Duration) -> u64) -> Vec<HeldPartRow> {
+        let mut held = self.lock().held();
+        held.sort_by_key(|held| Reverse(held.last));
+        let rows = held.into_iter().take(MAX_HELD_ROWS).map(|held| HeldPartRow {
+            first: to_store(held.first),
+            last: to_store(held.last),
+            part: held.part,
+            workspace: held.workspace,
+            ends: held.ends,
+            trials: held.trials,
+        });
+        rows.collect()
+    }
+
+    /// Adopts the parts of the lease's row; `to_local` converts times from the store's clock.
+    pub(crate) fn adopt_rows(&self, rows: &[HeldPartRow], to_local: impl Fn(u64) -> Duration) {
+        if rows.is_empty() {
+            return;
+        }
+        let now = boot_now();
+        self.apply(|log| {
+            for row in rows {
+                let held = HeldPart {
+                    part: row.part.clone(),
+                    workspace: row.workspace.clone(),
+                    first: to_local(row.first),
+                    last: to_local(row.last),
+                    ends: row.ends,
+                    trials: row.trials,
+                };
+                log.adopt(held, now);
+            }
+        });
+    }
+
     /// Returns the parts that are held back, in a fixed order.
     pub(crate) fn held(&self) -> Vec<(PartId, Option<WorkspaceId>)> {
         let held = self.lock().held().into_iter();
--- a/crates/entry/tests/row.rs
+++ b/crates/entry/tests/row.rs
@@ -3,7 +3,7 @@
 use bamboocourse_decide::{
     FloorHistory, LeaseRow, PoolRecord, Relay, Roster, UnreportedSpend, VmId, WorkspaceId,
 };
-use bamboocourse_entry::LeaderRow;
+use bamboocourse_entry::{HeldPartRow, LeaderRow};
 
 /// The longest row that the platform's store accepts, in bytes.
 const MAX_ROW_BYTES: usize = 65_536;
@@ -45,6 +45,16 @@
             target: 3,
             leader: vm(0),
         },
+        held: (0..16)
+            .map(|index| HeldPartRow {
+                part: format!("5c1e07a2{index}").into(),
+                workspace: Some("workspace-1".into()),
+                first: 123_456_789,
+                last: 123_456_789,
+                ends: 5,
+                trials: 1,
+            })
+            .collect(),
     }
 }
 
