--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -21,6 +21,16 @@
 const AVAILABILITY_NOTES: [&str; 4] =
     ["all quiet", "all leave", "endpoint wants quiet", "withheld"];
 
+/// Phrases of lines about a part of prompts that is held back, and of the crashes behind it.
+const PART_PHRASES: [&str; 4] = [
+    "broke a request off",
+    "with a part of their prompts",
+    "a part of prompts is held back",
+    "is no longer held back",
+];
+/// The words before the part in the detail of a request that is refused because of one.
+const PART_PREFIX: &str = "with the part ";
+
 /// A log line with its time.
 struct Line<'a> {
     at: Timestamp,
@@ -46,7 +56,11 @@
     let mut subjects: Vec<&str> = vec![subject];
     subjects.extend(["endpoint", "model"].iter().filter_map(|name| field_value(last.text, name)));
     let unavailable = AVAILABILITY_NOTES.iter().any(|note| last.text.contains(note));
+    let part = last.text.split_once(PART_PREFIX).and_then(|(_, rest)| rest.split(' ').next());
     let context = lines.iter().filter(|line| {
+        if part.is_some_and(|part| concerns_part(line, part)) {
+            return line.at <= last.at;
+        }
         if unavailable && holds_at(line, last.at) {
             return true;
         }
@@ -66,6 +80,11 @@
     Exit::Success
 }
 
+/// Returns whether a line tells of a part of prompts that is held back, or of a crash behind it.
+fn concerns_part(line: &Line<'_>, part: &str) -> bool {
+    PART_PHRASES.iter().any(|phrase| line.text.contains(phrase)) && mentions(line.text, part)
+}
+
 /// Returns whether a line tells that an endpoint leaves, or wants quiet until `at` or longer.
 fn holds_at(line: &Line<'_>, at: Timestamp) -> bool {
     let quiet = field_value(line.text, "quiet_ms").and_then(|text| text.parse().ok());
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -6,6 +6,9 @@
 
 /// A log with lines of two requests, two models and the lease.
 const LOG: &str = "\
+[2026-01-25T09:30:00.000Z INFO  loss] an endpoint broke a request off id=y1 endpoint=i-5 born=7 progress=begun parts=5c1e,bad0
+[2026-01-25T09:30:01.000Z INFO  loss] an endpoint broke a request off id=y2 endpoint=i-6 born=8 progress=begun parts=5c1e,bad01
+[2026-01-25T09:30:02.000Z WARN  crashes] a part of prompts is held back part=bad0 ends=3 workspace=all
 [2026-01-25T09:31:00.000Z INFO  scheduler] an endpoint wants no requests for a time endpoint=i-8 id=x1 quiet_ms=60000
 [2026-01-25T09:34:00.000Z INFO  scheduler] an endpoint wants no requests for a time endpoint=i-9 id=x2 quiet_ms=120000
 [2026-01-25T09:35:10.000Z INFO  lead] an order was given endpoint=i-1 command=Load(\"m7\") reply=Lost
@@ -14,6 +17,7 @@
 [2026-01-25T09:35:12.000Z INFO  trace] a request has ended id=abc kind=no_endpoint model=m7/a1 endpoint=
 [2026-01-25T09:35:13.000Z INFO  trace] a request has ended id=abcd kind=answered model=m7 endpoint=i-1
 [2026-01-25T09:35:14.000Z INFO  trace] a request has ended id=def kind=overloaded endpoint= notes=all quiet
+[2026-01-25T09:35:15.000Z INFO  trace] a request has ended id=ghi kind=prompt_held endpoint= detail=3 endpoints have ended under requests with the part bad0 of the prompt, the last one 313 s ago
 ";
 
 /// Runs `explain --log` about a subject and returns its output.
@@ -57,3 +61,11 @@
 fn explain_reports_an_unknown_subject() {
     assert!(explain("nobody").contains("no lines about nobody"));
 }
+
+// The crashes may lie long before the refused request, which reached no endpoint.
+#[test]
+fn explain_prints_the_crashes_behind_a_held_part() {
+    let text = explain("ghi");
+    assert!(text.contains("id=y1") && text.contains("is held back"), "{text}");
+    assert!(!text.contains("id=y2"), "{text}");
+}
