--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -68,6 +68,7 @@
     EndpointRow, EngineState, Item, Ledger, ORDER_DELIVERY_LIMIT, ORDER_RETRY_INTERVAL, OpenOrder,
     Order, OrderDenied, OrderNumber,
 };
+pub use process::placement::load_failures::{LoadFailures, LoadedItem};
 pub use process::placement::load_limiter::{LoadLimiter, LoadOutcome};
 pub use process::placement::quiet_period::{Handover, LastOrders, QuietPeriod};
 pub use process::placement::service::{AdapterKey, EndpointView, PlannedOrder, ServicePlanner};
--- a/crates/decide/src/process/placement/mod.rs
+++ b/crates/decide/src/process/placement/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod forecast;
 pub(crate) mod lease;
 pub(crate) mod ledger;
+pub(crate) mod load_failures;
 pub(crate) mod load_limiter;
 pub(crate) mod quiet_period;
 pub(crate) mod service;
--- a/crates/entry/src/process/coordinator/placement.rs
+++ b/crates/entry/src/process/coordinator/placement.rs
@@ -4,10 +4,12 @@
 
 use bamboocourse_decide::{
     Availability, EndpointId, EndpointReport, EndpointTracker, EndpointView, FastMap, FastSet,
-    FleetConfig, LATE_ORDER_TIMEOUT, LoadLimiter, LoadOutcome, ModelId, OrderKey, OrderReply,
-    PlannedOrder, QuietPeriod, ServiceId, ServicePlanner, VmId,
+    FleetConfig, LATE_ORDER_TIMEOUT, LoadFailures, LoadLimiter, LoadOutcome, LoadedItem, ModelId,
+    OrderCommand, OrderKey, OrderReply, PlannedOrder, QuietPeriod, ServiceId, ServicePlanner, VmId,
 };
 
+use log::info;
+
 use crate::edge::ListedEndpoint;
 use crate::process::scheduler::Scheduler;
 use crate::process::settings::Bounds;
@@ -27,6 +29,7 @@
     changed: FastSet<EndpointId>,
     /// When each endpoint's last order is expected to finish.
     expected_end: FastMap<EndpointId, Duration>,
+    load_failures: LoadFailures,
     bounds: Bounds,
     /// When this VM took over the lease from another process; `None` without a former leader.
     took_over: Option<Duration>,
@@ -59,6 +62,7 @@
             demand: FastMap::default(),
             changed: FastSet::default(),
             expected_end: FastMap::default(),
+            load_failures: LoadFailures::default(),
             bounds,
             took_over,
         }
@@ -72,6 +76,7 @@
         fleet: &FleetConfig,
         now: Duration,
     ) {
+        self.check_load(name, listed.as_ref(), now);
         let Some(listed) = listed else {
             self.trackers.remove(name);
             return;
@@ -83,9 +88,11 @@
         match self.trackers.get_mut(name) {
             Some((tracker, known)) => {
                 *known = listed;
+                let loading = loading_item(tracker);
                 if tracker.on_listed(&known.report, now) {
                     self.changed.insert(name.clone());
                 }
+                self.load_failures.clear_loaded(loading, tracker);
             }
             None => {
                 self.trackers.insert(
@@ -96,6 +103,32 @@
         }
     }
 
+    /// Records that an endpoint ended while it loaded something, if its entry shows that.
+    ///
+    /// An endpoint that leaves is expected to end.
+    fn check_load(&mut self, name: &EndpointId, listed: Option<&ListedEndpoint>, now: Duration) {
+        let Some((tracker, known)) = self.trackers.get(name) else { return };
+        let instance = tracker.instance();
+        if !known.info.ready || listed.is_some_and(|listed| listed.info.instance == instance) {
+            return;
+        }
+        let Some(item) = loading_item(tracker) else { return };
+        let (model, adapter) = item.clone();
+        let paused = self.load_failures.on_end(item, (name.clone(), instance), now);
+        info!(endpoint = name.as_str(), born = instance, model = model.as_str(),
+            adapter = adapter.unwrap_or_default().as_str(),
+            paused_ms = paused.unwrap_or_default().as_millis() as u64;
+            "an endpoint has ended while it loaded a model or adapter");
+    }
+
+    /// Returns whether an order would load what endpoints ended with.
+    fn is_load_paused(&self, command: &OrderCommand, now: Duration) -> bool {
+        let Some(item) = LoadFailures::loaded_item(command) else { return false };
+        let trackers = self.trackers.values().map(|(tracker, _)| tracker);
+        let loading = trackers.filter(|tracker| loading_item(tracker).as_ref() == Some(&item));
+        self.load_failures.is_paused(&item, loading.count(), now)
+    }
+
     /// Records the demand that a relay reported.
     pub(crate) fn on_demand(
         &mut self,
@@ -159,9 +192,11 @@
                 tracker.retry_report();
             }
             ReportReply::Report(report) => {
+                let loading = loading_item(tracker);
                 if tracker.on_report(report, now) {
                     self.changed.insert(name.clone());
                 }
+                self.load_failures.clear_loaded(loading, tracker);
             }
             ReportReply::Missing => tracker.on_no_report(now),
             // The request stays due, and is repeated once the endpoint may be asked.
@@ -198,6 +233,7 @@
         now: Duration,
     ) -> Vec<IssuedOrder> {
         let mut orders = Vec::new();
+        self.load_failures.prune(now);
         for (name, service) in &fleet.services {
             let Some(engine) = &service.engine else { continue };
             let (bounds, took_over) = (&self.bounds, self.took_over);
@@ -231,8 +267,17 @@
                 })
                 .collect();
             views.sort_by(|a, b| a.name.cmp(&b.name));
-            for planned in planner.plan(engine, &mut views, limiter, now) {
+            let planned = planner.plan(engine, &mut views, limiter, now);
+            for planned in planned {
                 let command = planned.command.clone();
+                let is_paused = self.is_load_paused(&command, now);
+                let Some((_, limiter)) = self.planners.get_mut(name) else { break };
+                if is_paused {
+                    if planned.from_store {
+                        limiter.settle(LoadOutcome::NotBegun, now);
+                    }
+                    continue;
+                }
                 let key = self.trackers.get_mut(&planned.endpoint).and_then(|(tracker, _)| {
                     tracker.begin_order(command, planned.expected_time, now)
                 });
@@ -283,6 +328,12 @@
     }
 }
 
+/// Returns what an endpoint loads now.
+fn loading_item(tracker: &EndpointTracker) -> Option<LoadedItem> {
+    let adapter = tracker.loading_adapter().map(|(model, adapter)| (model, Some(adapter)));
+    adapter.or_else(|| Some((tracker.loading_model()?.clone(), None)))
+}
+
 /// Returns an endpoint as the planner sees it.
 fn endpoint_view(
     name: &EndpointId,
