A VM that has heard of a leader does not take an absent row of the lease for an unused one

The store had lost the row of the lease in a restore, and its answers did not say the new era at that moment, so vm-1, a follower of vm-0 until then, took the absent row for the first start and the same number. A claim now waits and takes a number above all that the VM has heard of. absent_row_is_not_claimed_as_unused_after_a_leader_was_heard failed before.

--- a/crates/decide/src/process/placement/lease.rs
+++ b/crates/decide/src/process/placement/lease.rs
@@ -155,6 +155,7 @@
             former_until: Duration::ZERO,
             sent: None,
             resigned: 0,
+            heard: 0,
         };
         Self { machine: machine.state_machine() }
     }
@@ -234,6 +235,8 @@
     sent: Option<Sent>,
     /// The largest fencing number whose leader is known to have given up the lease.
     resigned: Fence,
+    /// The largest fencing number of a leader that this VM has heard of; 0 if it has heard of none.
+    heard: Fence,
 }
 
 /// The row as it was last seen.
@@ -294,11 +297,13 @@
                 Handled
             }
             LeaseEvent::Renewed(fence, position, now) => {
+                self.heard = self.heard.max(*fence);
                 self.on_renewed(*fence, *position, *now);
                 Handled
             }
             LeaseEvent::Resigned(fence) => {
                 self.resigned = self.resigned.max(*fence);
+                self.heard = self.heard.max(*fence);
                 Handled
             }
             LeaseEvent::Yield => {
@@ -396,6 +401,7 @@
 
     /// Records the row that was read, and when its position changed.
     fn observe(&mut self, position: StorePosition, row: &Option<LeaseRow>, now: Duration) {
+        self.heard = row.as_ref().map_or(self.heard, |row| self.heard.max(row.fence));
         if self.seen.as_ref().is_none_or(|seen| seen.position != position) {
             self.seen = Some(Seen { position, row: row.clone(), changed: now });
         }
@@ -422,12 +428,14 @@
         let expired = now >= seen.changed + self.terms.term + self.terms.margin;
         let Some(row) = seen.current_row() else {
             // Without a row, there was no leader unless the store has lost the row.
-            let unused = seen.row.is_none() && (seen.position.era == 0 || self.first_start);
+            let unused = seen.row.is_none()
+                && self.heard == 0
+                && (seen.position.era == 0 || self.first_start);
             let resumes = now < self.former_until;
-            return (unused || resumes || expired).then(|| seen.next_fence());
+            return (unused || resumes || expired).then(|| self.next_fence(seen));
         };
         if row.fence <= self.resigned {
-            return Some(seen.next_fence());
+            return Some(self.next_fence(seen));
         }
         if row.holder == self.vm && row.life == self.life {
             // The outcome of an earlier claim was lost, but the row shows that it was committed.
@@ -435,7 +443,13 @@
         }
         let vacant = row.holder.is_empty();
         let restarted = row.holder == self.vm && row.life < self.life;
-        (vacant || restarted || expired).then(|| seen.next_fence())
+        (vacant || restarted || expired).then(|| self.next_fence(seen))
+    }
+
+    /// Returns the fencing number of a claim, above all that this VM has heard of: a store that has
+    /// lost the row may not say so.
+    fn next_fence(&self, seen: &Seen) -> Fence {
+        seen.next_fence().max(self.heard.saturating_add(1))
     }
 
     /// Returns whether the row names this process instance as the leader under a fencing number.
--- a/crates/decide/tests/lease.rs
+++ b/crates/decide/tests/lease.rs
@@ -354,3 +354,20 @@
     lease.handle(LeaseEvent::EraChanged(2, Duration::ZERO));
     assert_eq!(lease.era(), 2);
 }
+
+// A store that has lost the row may fail to say that it has begun a new era.
+#[test]
+fn absent_row_is_not_claimed_as_unused_after_a_leader_was_heard() {
+    let at = |millis| Duration::from_millis(millis);
+    let mut lease = Lease::new("vm-1".into(), 1);
+    lease.handle(LeaseEvent::FirstStart);
+    let leader = LeaseRow { holder: "vm-0".into(), life: 1, fence: 8, renewals: 0, era: 0 };
+    let written = StorePosition::new(0, 8);
+    assert!(lease.handle(LeaseEvent::Read(written, Some(leader), at(0))).is_none());
+    lease.handle(LeaseEvent::Renewed(8, StorePosition::new(0, 9), at(100)));
+    let absent = StorePosition::new(0, 0);
+    assert!(lease.handle(LeaseEvent::Read(absent, None, at(200))).is_none());
+    let expired = at(200) + LEASE_TERM * 2;
+    let claim = lease.handle(LeaseEvent::Read(absent, None, expired)).expect("a claim");
+    assert!(claim.row.fence > 8, "{claim:?}");
+}
