Ends of endpoints from before a part was sound widen no hold; bounds of told parts

A part that is held back for one workspace was held back for all because of an older end under another's request, from before requests with it were answered: ends_before_a_part_was_sound_hold_it_back_for_nobody failed before. What other VMs tell of answered parts is bounded by 4,096, and old entries are looked for every 30 s, as the tables of a large fleet took 20,000 steps four times a second.

--- a/crates/decide/src/request/crash_log.rs
+++ b/crates/decide/src/request/crash_log.rs
@@ -41,6 +41,8 @@
 const KNOWN_PART_SPAN: Duration = Duration::from_secs(1);
 /// How long it is remembered that a request with a part was answered.
 const SOUND_MEMORY: Duration = Duration::from_secs(600);
+/// How often entries are looked for that are older than that.
+const SOUND_PRUNE_INTERVAL: Duration = Duration::from_secs(30);
 /// The endpoints that a request may end before it is sent no more.
 const MAX_REQUEST_ENDS: usize = 2;
 /// How long a VM holds a part back that the VM it reports to does not know of, although it has been
@@ -64,6 +66,8 @@
 const MAX_HELD_PARTS: usize = 64;
 /// The parts in answered requests of one workspace that are remembered; the newest half stays.
 const MAX_SOUND_PARTS: usize = 512;
+/// The parts in requests that other VMs saw answered that are remembered; the newest half stays.
+const MAX_TOLD_PARTS: usize = 4_096;
 /// The workspaces of which they are remembered.
 const MAX_SOUND_WORKSPACES: usize = 256;
 
@@ -141,6 +145,8 @@
     sound: FastMap<WorkspaceId, FastMap<PartId, Duration>>,
     /// The same, as other VMs told it, for parts of suspects.
     told_sound: FastMap<PartId, Duration>,
+    /// When the two were last searched for entries that are too old.
+    sound_pruned: Duration,
     held: FastMap<PartId, Hold>,
     suspected: FastMap<PartId, usize>,
     changes: Vec<PartChange>,
@@ -286,12 +292,7 @@
             let at = known.entry(part.clone()).or_default();
             *at = began.max(*at);
         }
-        if known.len() > MAX_SOUND_PARTS {
-            let mut times: Vec<Duration> = known.values().copied().collect();
-            times.sort_unstable();
-            let oldest = times[times.len() / 2];
-            known.retain(|_, at| *at > oldest);
-        }
+        keep_newest(known, MAX_SOUND_PARTS);
         for part in parts {
             self.release_sound(part, began, now);
         }
@@ -306,6 +307,7 @@
     fn note_told_sound(&mut self, part: PartId, began: Duration) {
         let at = self.told_sound.entry(part).or_default();
         *at = began.max(*at);
+        keep_newest(&mut self.told_sound, MAX_TOLD_PARTS);
     }
 
     /// Lets a part go if requests with it were answered since the first end that counts against it.
@@ -426,11 +428,14 @@
     /// Forgets what is too old.
     pub fn prune(&mut self, now: Duration) {
         self.ends.retain(|(_, end)| now < end.at + EVIDENCE_TERM);
-        for parts in self.sound.values_mut() {
-            parts.retain(|_, at| now < *at + SOUND_MEMORY);
+        if now >= self.sound_pruned + SOUND_PRUNE_INTERVAL {
+            self.sound_pruned = now;
+            for parts in self.sound.values_mut() {
+                parts.retain(|_, at| now < *at + SOUND_MEMORY);
+            }
+            self.sound.retain(|_, parts| !parts.is_empty());
+            self.told_sound.retain(|_, at| now < *at + SOUND_MEMORY);
         }
-        self.sound.retain(|_, parts| !parts.is_empty());
-        self.told_sound.retain(|_, at| now < *at + SOUND_MEMORY);
         let expired = self.held.iter().filter(|(_, hold)| hold.held.last + HOLD_TERM <= now);
         let expired: Vec<PartId> = expired.map(|(part, _)| part.clone()).collect();
         for part in expired {
@@ -477,9 +482,12 @@
 
     /// Finds a part that is held back for one workspace and has ended an endpoint for another one.
     fn find_widened(&self, now: Duration) -> Option<HeldPart> {
-        let suspects = self.recent_ends(now).flat_map(|end| &end.suspects);
-        let mut held = suspects
-            .flat_map(|suspect| self.held_of(suspect).map(move |held| (&suspect.workspace, held)));
+        let ends = self.recent_ends(now);
+        let suspects = ends.flat_map(|end| end.suspects.iter().map(|suspect| (end.at, suspect)));
+        let mut held = suspects.flat_map(|(at, suspect)| {
+            let held = self.held_of(suspect).filter(move |held| held.first <= at);
+            held.map(move |held| (&suspect.workspace, held))
+        });
         let other = held.find(|(workspace, held)| {
             held.workspace.as_ref().is_some_and(|only| only != *workspace)
         });
@@ -570,3 +578,14 @@
         }
     }
 }
+
+/// Drops the older half of the entries if there are more than `most`.
+fn keep_newest(parts: &mut FastMap<PartId, Duration>, most: usize) {
+    if parts.len() <= most {
+        return;
+    }
+    let mut times: Vec<Duration> = parts.values().copied().collect();
+    let (_, middle, _) = times.select_nth_unstable(most / 2);
+    let middle = *middle;
+    parts.retain(|_, at| *at > middle);
+}
--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -154,6 +154,20 @@
     assert!(matches!(log.check(&new, seconds(5.0)), PromptCheck::Held(_)));
 }
 
+#[test]
+fn ends_before_a_part_was_sound_hold_it_back_for_nobody() {
+    let mut log = CrashLog::default();
+    let other = Prompt { workspace: "v".into(), ..prompt(90, &["shared"]) };
+    add(&mut log, 9, 0.5, &[other]);
+    log.on_sound(&"v".into(), &["shared".into()], seconds(1.0), seconds(1.5));
+    for number in 0..5 {
+        add(&mut log, number as usize, 2.0 + number as f64, &[prompt(number, &["shared"])]);
+    }
+    let new = Prompt { workspace: "v".into(), ..prompt(91, &["shared"]) };
+    assert!(!is_open(&mut log, &["shared"], 8.0));
+    assert_eq!(log.check(&new, seconds(8.0)), PromptCheck::Open);
+}
+
 #[test]
 fn endless_new_parts_neither_fill_the_log_nor_displace_those_of_others() {
     let mut log = CrashLog::default();
