--- a/crates/entry/src/request/loss.rs
+++ b/crates/entry/src/request/loss.rs
@@ -55,8 +55,11 @@
             filled_percent = (slot.utilization * 100.0) as u64,
             parts = job.prompt.parts.join(",").as_str(); "an endpoint broke a request off");
         self.metrics.broken_off.add(1, &[]);
+        // Such a request is not sent again, and has no part that others share.
+        let is_single = job.prompt.parts.is_empty() && !job.route.retry_policy.is_retryable();
         // An endpoint that leaves is expected to end.
-        if streaming >= SOUND_STREAM_TIME || slot.availability() == Availability::Leaving {
+        let is_leaving = slot.availability() == Availability::Leaving;
+        if is_single || is_leaving || streaming >= SOUND_STREAM_TIME {
             return;
         }
         let instance = (slot.name.clone(), slot.instance);
