--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -164,6 +164,7 @@
         add(&mut log, number as usize, 2.0 + number as f64, &[prompt(number, &["shared"])]);
     }
     let new = Prompt { workspace: "v".into(), ..prompt(91, &["shared"]) };
+    add(&mut log, 8, 7.5, &[prompt(92, &["other"])]);
     assert!(!is_open(&mut log, &["shared"], 8.0));
     assert_eq!(log.check(&new, seconds(8.0)), PromptCheck::Open);
 }
