Neither announced ends of endpoints nor answers with an error count for parts of prompts

An endpoint that drains by its entry in the list ends as announced, which was evidence against the parts of its last requests. An endpoint's 4xx counted as an answer and would clear a part that it never began to answer. Both by reading the diff; the first has a test.

--- a/crates/decide/src/request/dispatch.rs
+++ b/crates/decide/src/request/dispatch.rs
@@ -273,6 +273,13 @@
         self.availability.check(name, instance, now)
     }
 
+    /// Returns whether an instance of an endpoint leaves, by its answers or by its entry in the list.
+    pub fn is_leaving(&self, name: &EndpointId, instance: u64) -> bool {
+        let listed = self.endpoints.get(name).map(|endpoint| &endpoint.info);
+        listed.is_some_and(|info| info.instance == instance && !info.ready)
+            || self.availability.check(name, instance, Duration::ZERO) == Availability::Leaving
+    }
+
     /// Records that an instance of an endpoint leaves; returns whether this was not known.
     pub fn on_leaving(&mut self, name: &EndpointId, instance: u64, now: Duration) -> bool {
         self.prune_availability(now);
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -197,3 +197,15 @@
     dispatcher.upsert(&"e1".into(), EndpointInfo { instance: 2, ..info() });
     assert_eq!(dispatcher.pick(&request(NOW, 0), 1, NOW), Err(Shortage::NotResident));
 }
+
+// An endpoint that leaves ends without a request being the cause.
+#[test]
+fn endpoint_leaves_by_its_entry_or_its_answers() {
+    let mut dispatcher = dispatcher(&["e1", "e2", "e3"]);
+    let instance = info().instance;
+    dispatcher.upsert(&"e1".into(), EndpointInfo { ready: false, ..info() });
+    dispatcher.on_leaving(&"e2".into(), instance, NOW);
+    let leaving = |name: &str| dispatcher.is_leaving(&name.into(), instance);
+    assert_eq!(["e1", "e2", "e3", "unknown"].map(leaving), [true, true, false, false]);
+    assert!(!dispatcher.is_leaving(&"e1".into(), instance + 1), "it is another process");
+}
--- a/crates/entry/src/process/scheduler.rs
+++ b/crates/entry/src/process/scheduler.rs
@@ -98,6 +98,12 @@
         self.scheduler.availability(&self.name, self.instance)
     }
 
+    /// Returns whether the endpoint leaves, by its answers or by its entry in the list.
+    pub(crate) fn is_leaving(&self) -> bool {
+        let state = self.scheduler.state();
+        state.dispatcher.is_leaving(&self.name, self.instance)
+    }
+
     /// Returns whether the endpoint is so loaded that a late response is to be expected.
     pub(crate) fn is_busy(&self) -> bool {
         self.scheduler.state().dispatcher.is_busy(&self.name, boot_now())
--- a/crates/entry/src/request/loss.rs
+++ b/crates/entry/src/request/loss.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use bamboocourse_decide::{
-    Availability, ErrorKind, HeldPart, Prompt, PromptCheck, Refusal, SOUND_STREAM_TIME,
-};
+use bamboocourse_decide::{ErrorKind, HeldPart, Prompt, PromptCheck, Refusal, SOUND_STREAM_TIME};
 use log::info;
 use tokio::time::Instant;
 
@@ -58,8 +56,7 @@
         // Such a request is not sent again, and has no part that others share.
         let is_single = job.prompt.parts.is_empty() && !job.route.retry_policy.is_retryable();
         // An endpoint that leaves is expected to end.
-        let is_leaving = slot.availability() == Availability::Leaving;
-        if is_single || is_leaving || streaming >= SOUND_STREAM_TIME {
+        if is_single || slot.is_leaving() || streaming >= SOUND_STREAM_TIME {
             return;
         }
         let instance = (slot.name.clone(), slot.instance);
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -395,7 +395,9 @@
             }
         } else {
             slot.set_outcome(SendOutcome::Completed);
-            self.on_answered(job, began);
+            if status.is_success() {
+                self.on_answered(job, began);
+            }
         }
         trace.end_complete(status);
         let headers = self.protocol.forwarded_headers(&head.headers);
