--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -255,6 +255,20 @@
     assert_eq!(held(&relay), [BAD]);
 }
 
+// The leader reports to itself, too, and may have let the part go since the reply was written.
+#[test]
+fn leader_does_not_hold_a_part_back_again_by_its_own_reply() {
+    let mut leader = CrashLog::default();
+    leader.set_leads(true);
+    for number in 0..3 {
+        add(&mut leader, number as usize, number as f64 / 10.0, &[prompt(number, &["rare"])]);
+    }
+    let reply = leader.held();
+    leader.on_sound(&"w".into(), &["rare".into()], seconds(0.5), seconds(0.9));
+    leader.on_told(reply, seconds(1.0));
+    assert!(held(&leader).is_empty());
+}
+
 // A VM sees few requests, so a part may look worse to it than to the fleet.
 #[test]
 fn part_that_the_leader_does_not_hold_back_is_let_go() {
