--- a/crates/decide/src/request/crash_log.rs
+++ b/crates/decide/src/request/crash_log.rs
@@ -379,8 +379,8 @@
     /// Applies the parts that the VM holds back to which this one reports.
     ///
     /// A part that it does not hold back is let go, also one that this VM held back by itself some
-    /// time ago: the other VM has been told the evidence, and what speaks against it. A leader, whose
-    /// reports are its own, is told nothing.
+    /// time ago: the other VM has been told the evidence, and what speaks against it. A leader ignores
+    /// this, since it only reports to itself.
     pub fn on_told(&mut self, told: Vec<HeldPart>, now: Duration) {
         if self.leads {
             return;
--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -191,15 +191,21 @@
     assert!(is_open(&mut log, &["first"], 9.0));
 }
 
-#[test]
-fn few_requests_are_tried_and_only_by_the_leader() {
+/// Returns the logs of a leader and of another VM, which hold the bad part back from 3 s on.
+fn leader_and_other_that_hold_back() -> (CrashLog, CrashLog) {
     let mut leader = CrashLog::default();
     leader.set_leads(true);
-    let mut other = CrashLog::default();
     for number in 0..3 {
         add(&mut leader, number as usize, number as f64, &[prompt(number, &[BAD])]);
     }
+    let mut other = CrashLog::default();
     other.on_told(leader.held(), seconds(3.0));
+    (leader, other)
+}
+
+#[test]
+fn few_requests_are_tried_and_only_by_the_leader() {
+    let (mut leader, mut other) = leader_and_other_that_hold_back();
     let mut trials = Vec::new();
     for second in 3..100_000u32 {
         let at = Duration::from_secs(second.into());
@@ -218,13 +224,7 @@
 // The model was replaced: the trial is answered.
 #[test]
 fn part_that_turns_sound_is_let_go_everywhere_after_a_trial() {
-    let mut leader = CrashLog::default();
-    leader.set_leads(true);
-    let mut other = CrashLog::default();
-    for number in 0..3 {
-        add(&mut leader, number as usize, number as f64, &[prompt(number, &[BAD])]);
-    }
-    other.on_told(leader.held(), seconds(3.0));
+    let (mut leader, mut other) = leader_and_other_that_hold_back();
     assert!(!is_open(&mut other, &[BAD], 70.0));
     assert_eq!(leader.check(&prompt(9, &[BAD]), seconds(70.0)), PromptCheck::Trial);
     assert!(!is_open(&mut leader, &[BAD], 70.0), "one request is tried at a time");
--- a/crates/entry/src/process/crashes.rs
+++ b/crates/entry/src/process/crashes.rs
@@ -1,5 +1,5 @@
-//! The ends of endpoints that this VM sees or is told, and the parts of prompts that are held back
-//! because of them.
+//! Shares a VM's log of endpoint crashes between requests, the coordinator and the links to other VMs,
+//! and writes a log line when a part of prompts is held back or let go.
 
 use std::cmp::Reverse;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
