Logs and metrics of the limits that endpoints name

A line is written when the limit of an endpoint changes (value, former value, request); 'limited' and 'limited_answers' count endpoints with a limit and answers of them. Nothing acts on it yet.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -76,6 +76,9 @@
     EndpointReport, EndpointTracker, LATE_ORDER_TIMEOUT, MAX_REPORT_AGE, OrderCommand, OrderKey,
     OrderReply, ResidentModels,
 };
+pub use process::request_limits::log::{
+    LimitChange, LimitLog, LimitNumber, LimitStatement, NamedLimit, RaiseEvidence, Rate,
+};
 pub use process::roster::{Relay, RelayAppointer, Roster};
 pub use process::shutdown::ShutdownSchedule;
 pub use process::sliding_window::SlidingWindow;
--- a/crates/decide/src/process/mod.rs
+++ b/crates/decide/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod listed_position;
 pub(crate) mod members;
 pub(crate) mod placement;
+pub(crate) mod request_limits;
 pub(crate) mod roster;
 pub(crate) mod shutdown;
 pub(crate) mod sliding_window;
--- /dev/null
+++ b/crates/decide/src/process/request_limits/mod.rs
@@ -0,0 +1,3 @@
+//! Limits of requests per second that endpoints name for all VMs together.
+
+pub(crate) mod log;
--- a/crates/decide/src/request/dispatch.rs
+++ b/crates/decide/src/request/dispatch.rs
@@ -13,6 +13,7 @@
 
 use crate::ids::{AdapterId, DomainId, EndpointId, ModelId, ServiceId};
 use crate::map::{FastMap, FastSet, hash_of};
+use crate::process::request_limits::log::{LimitChange, LimitLog, NamedLimit, Rate};
 use crate::request::availability::{Availability, AvailabilityLog, EndpointInstance, QuietRequest};
 use crate::request::route::Load;
 
@@ -139,6 +140,7 @@
     services: FastMap<ServiceId, Vec<EndpointId>>,
     waiting: BTreeMap<(u8, QueueTicket), Requirements>,
     availability: AvailabilityLog,
+    limits: LimitLog,
 }
 
 #[derive(Debug)]
@@ -176,6 +178,7 @@
             services: FastMap::default(),
             waiting: BTreeMap::new(),
             availability: AvailabilityLog::default(),
+            limits: LimitLog::default(),
         }
     }
 
@@ -299,6 +302,31 @@
         self.availability.on_quiet(name, instance, request, now)
     }
 
+    /// Records what an instance's answer says about the requests that it takes; the request was sent at
+    /// the time `sent`, if that is known. Returns the change of the limit in force.
+    pub fn on_named_limit(
+        &mut self,
+        name: &EndpointId,
+        instance: u64,
+        named: Option<NamedLimit>,
+        sent: Option<Duration>,
+        now: Duration,
+    ) -> Option<LimitChange> {
+        // An answer of unknown age without a limit says nothing about the limit in force.
+        let sent = sent.or(named.map(|_| Duration::ZERO))?;
+        self.limits.on_answer(&(name.clone(), instance), named, sent, now, true)
+    }
+
+    /// Returns the limit in force of an instance.
+    pub fn limit(&self, name: &EndpointId, instance: u64) -> Option<Rate> {
+        self.limits.rate(&(name.clone(), instance))
+    }
+
+    /// Returns how many instances have a limit in force.
+    pub fn limited(&self) -> usize {
+        self.limits.limited().count()
+    }
+
     fn prune_availability(&mut self, now: Duration) {
         let endpoints = &self.endpoints;
         let is_listed = |(name, instance): &EndpointInstance| {
--- a/crates/entry/src/edge/mod.rs
+++ b/crates/entry/src/edge/mod.rs
@@ -12,8 +12,8 @@
 
 use bamboocourse_decide::{
     EndpointId, EndpointInfo, EndpointReport, Fence, FleetConfig, Load, ModelId, ModelRef,
-    OrderCommand, OrderReply, PartId, QuietRequest, Refusal, StoreEra, StorePosition, Tokens, VmId,
-    WorkspaceId,
+    NamedLimit, OrderCommand, OrderReply, PartId, QuietRequest, Refusal, StoreEra, StorePosition,
+    Tokens, VmId, WorkspaceId,
 };
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
@@ -197,6 +197,8 @@
     pub closes: bool,
     /// Whether the endpoint says that it leaves.
     pub leaving: bool,
+    /// How many requests a second the endpoint takes from all VMs together, if it names a limit.
+    pub limit: Option<NamedLimit>,
     /// For how long the endpoint wants nothing from this VM, if it turned the request away so.
     pub quiet: Option<QuietRequest>,
 }
--- a/crates/entry/src/process/coordinator/orders.rs
+++ b/crates/entry/src/process/coordinator/orders.rs
@@ -129,13 +129,14 @@
         request: Request<Full<Bytes>>,
         cause: &str,
     ) -> Result<(Parts, Incoming, PooledConnection), SendError> {
+        let began = boot_now();
         let sending = self.pool.send_if(self.address, request, || self.may_send());
         let (response, connection) = sending.await?;
         let (head, body) = response.into_parts();
         // A 421 comes from another endpoint that has the address now.
         if head.status != StatusCode::MISDIRECTED_REQUEST {
             let parsed: ResponseHead = self.protocol.read_response(&head);
-            self.scheduler.on_head(&self.endpoint, self.instance, &parsed, cause);
+            self.scheduler.on_head(&self.endpoint, self.instance, &parsed, Some(began), cause);
         }
         Ok((head, body, connection))
     }
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -62,6 +62,8 @@
     unavailable: Counter<u64>,
     leaving: Gauge<u64>,
     quiet: Gauge<u64>,
+    limited: Gauge<u64>,
+    pub(crate) limited_answers: Counter<u64>,
 }
 
 impl Metrics {
@@ -102,6 +104,12 @@
             ),
             leaving: gauge(&meter, "leaving", "endpoints known to leave by their answers"),
             quiet: gauge(&meter, "quiet", "endpoints that want nothing from this VM for now"),
+            limited: gauge(&meter, "limited", "endpoints with a limit of requests in force"),
+            limited_answers: counter(
+                &meter,
+                "limited_answers",
+                "answers of endpoints with a limit of requests in force",
+            ),
             registry,
             provider,
         })
@@ -133,8 +141,9 @@
         self.unavailable.add(1, &[KeyValue::new("reason", reason)]);
     }
 
-    /// Records how many endpoints leave by their answers, and how many want quiet.
-    pub(crate) fn record_availability(&self, leaving: usize, quiet: usize) {
+    /// Records how many endpoints leave by their answers, want quiet, and name a limit of requests.
+    pub(crate) fn record_availability(&self, leaving: usize, quiet: usize, limited: usize) {
+        self.limited.record(limited as u64, &[]);
         self.leaving.record(leaving as u64, &[]);
         self.quiet.record(quiet as u64, &[]);
     }
--- a/crates/entry/src/process/scheduler.rs
+++ b/crates/entry/src/process/scheduler.rs
@@ -6,8 +6,8 @@
 
 use bamboocourse_decide::{
     AdapterId, Availability, Dispatcher, DomainId, EndpointId, EndpointInstance, FastMap, FastSet,
-    Load, ModelId, ModelRef, QueueTicket, Requirements, ResidentModels, SendOutcome, ServiceId,
-    Shortage, VmId,
+    LimitChange, Load, ModelId, ModelRef, NamedLimit, QueueTicket, Requirements, ResidentModels,
+    SendOutcome, ServiceId, Shortage, VmId,
 };
 use log::info;
 use tokio::sync::{Notify, oneshot};
@@ -89,8 +89,10 @@
 
     /// Records what the head of an answer says about sending to the endpoint; returns whether the
     /// endpoint wants quiet now.
-    pub(crate) fn on_head(&self, head: &ResponseHead, cause: &str) -> bool {
-        self.scheduler.on_head(&self.name, self.instance, head, cause)
+    ///
+    /// `sent` is when the request was sent, `None` if the answer belongs to another one.
+    pub(crate) fn on_head(&self, head: &ResponseHead, sent: Option<Duration>, cause: &str) -> bool {
+        self.scheduler.on_head(&self.name, self.instance, head, sent, cause)
     }
 
     /// Returns whether the endpoint may be sent to now.
@@ -218,11 +220,13 @@
         name: &EndpointId,
         instance: u64,
         head: &ResponseHead,
+        sent: Option<Duration>,
         cause: &str,
     ) -> bool {
         if head.leaving {
             self.on_leaving(name, instance, cause);
         }
+        self.on_named_limit(name, instance, head.limit, sent, cause);
         let Some(request) = head.quiet else { return false };
         let now = boot_now();
         let changed = self.state().dispatcher.on_quiet(name, instance, request, now);
@@ -236,6 +240,28 @@
         matches!(self.availability(name, instance), Availability::QuietUntil(_))
     }
 
+    /// Records what the head of an instance's answer says about the requests that it takes.
+    fn on_named_limit(
+        &self,
+        name: &EndpointId,
+        instance: u64,
+        named: Option<NamedLimit>,
+        sent: Option<Duration>,
+        cause: &str,
+    ) {
+        let mut state = self.state();
+        let dispatcher = &mut state.dispatcher;
+        let change = dispatcher.on_named_limit(name, instance, named, sent, boot_now());
+        if dispatcher.limit(name, instance).is_some() {
+            self.metrics.limited_answers.add(1, &[]);
+        }
+        drop(state);
+        if let Some(LimitChange { former, rate }) = change {
+            info!(endpoint = name.as_str(), born = instance, id = cause, former, rate;
+                "the limit of requests that an endpoint names has changed");
+        }
+    }
+
     /// Records that an instance of an endpoint leaves.
     fn on_leaving(self: &Arc<Self>, name: &EndpointId, instance: u64, cause: &str) {
         let mut state = self.state();
@@ -269,8 +295,9 @@
 
     /// Updates the metrics of endpoints that may not be sent to.
     pub(crate) fn record_availability(&self) {
-        let (leaving, quiet) = self.state().dispatcher.unavailable(boot_now());
-        self.metrics.record_availability(leaving, quiet);
+        let state = self.state();
+        let (leaving, quiet) = state.dispatcher.unavailable(boot_now());
+        self.metrics.record_availability(leaving, quiet, state.dispatcher.limited());
     }
 
     /// Returns why no slot is free for a request, or `None` if one is.
--- a/crates/entry/src/request/send.rs
+++ b/crates/entry/src/request/send.rs
@@ -12,6 +12,7 @@
 use super::trace::Trace;
 use super::{DEFAULT_RETRY_AFTER, Job, Pipeline, timeout_refusal};
 use crate::edge::EndpointRequest;
+use crate::edge::clock::boot_now;
 use crate::edge::pool::{PooledConnection, SendError};
 use crate::process::scheduler::EndpointSlot;
 
@@ -96,6 +97,7 @@
         // An answer to another request may have come since the endpoint was picked.
         let may_send =
             || slot.availability() == Availability::Open && self.check_send(job, runs).is_none();
+        let began = boot_now();
         let result = {
             let sending = self.pool.send_if(slot.address, request, may_send);
             tokio::pin!(sending);
@@ -139,16 +141,16 @@
                 return SendResult::Unknown(timeout_refusal(&slot));
             }
         };
-        self.check_response(job, response, connection, slot, trace).await
+        self.check_response(job, (response, connection), slot, began, trace).await
     }
 
     /// Checks that a response belongs to this request, is not a rejection and carries a seal.
     async fn check_response(
         &self,
         job: &Job,
-        response: http::Response<Incoming>,
-        connection: PooledConnection,
+        (response, connection): (http::Response<Incoming>, PooledConnection),
         mut slot: EndpointSlot,
+        sent: Duration,
         trace: &mut Trace,
     ) -> SendResult {
         let (head, body) = response.into_parts();
@@ -157,8 +159,10 @@
             slot.on_load(load);
         }
         // A 421 may come from another endpoint that has the address now.
-        let wants_quiet = head.status != 421 && slot.on_head(&parsed, &job.request.id);
-        if parsed.id.as_ref().is_some_and(|id| *id != job.request.id) {
+        let is_other = parsed.id.as_ref().is_some_and(|id| *id != job.request.id);
+        let sent = (!is_other).then_some(sent);
+        let wants_quiet = head.status != 421 && slot.on_head(&parsed, sent, &job.request.id);
+        if is_other {
             trace.note("another request's answer");
             slot.set_outcome(SendOutcome::Failed);
             let detail = format!("{} answered another request", slot.name);
