Requests to an endpoint that names a limit need permits

Cause: nothing read the limit, and routing took the endpoint for an idle one by its load.

Change: the leader issues permits at the rate of the limit, to relays that want them; relays pass them on to the requests of their members, with the ask for tokens. A permit is taken right before the write, whatever is sent: first sends, repeats, resumed streams, orders and requests for reports. What has no permit goes elsewhere at once, waits as long as it can still be served, or is refused with the time at which the limit allows it. Limits are told as numbered changes, both ways.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -79,6 +79,9 @@
 pub use process::request_limits::log::{
     LimitChange, LimitLog, LimitNumber, LimitStatement, NamedLimit, RaiseEvidence, Rate,
 };
+pub use process::request_limits::permits::{
+    IssuedPermits, LimitReport, Permit, PermitRole, RelayPart, RequestLimits, Want,
+};
 pub use process::roster::{Relay, RelayAppointer, Roster};
 pub use process::shutdown::ShutdownSchedule;
 pub use process::sliding_window::SlidingWindow;
--- a/crates/decide/src/process/request_limits/log.rs
+++ b/crates/decide/src/process/request_limits/log.rs
@@ -17,9 +17,9 @@
 const UNREADABLE_RATE: f64 = 1.0;
 /// The highest limit, in requests per second; more is none in practice.
 const MAX_RATE: f64 = 1e6;
-/// How much older than they look the answers behind another VM's raise may be: the message was on
-/// its way.
-const MESSAGE_DELAY: Duration = Duration::from_millis(300);
+/// How long after the last answer with the lower limit the requests were sent, at least, whose answers
+/// raise it. The times that VMs tell each other look later by as much as the message took.
+const RAISE_MARGIN: Duration = Duration::from_millis(300);
 /// How long an ended limit is remembered, so that a VM that was out of touch learns of its end.
 const ENDED_TERM: Duration = Duration::from_secs(60);
 /// How long the limit of an instance is remembered that is not listed.
@@ -104,6 +104,11 @@
         self.records.get(instance)?.statement.rate
     }
 
+    /// Returns whether no limit is known, neither one in force nor one that has ended.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// Returns the instances with a limit in force, and the limits.
     pub fn limited(&self) -> impl Iterator<Item = (&EndpointInstance, Rate)> {
         let records = self.records.iter();
@@ -158,7 +163,7 @@
     ) -> Option<LimitChange> {
         let record = self.records.get_mut(instance)?;
         let known = record.statement;
-        if raise.sent <= known.seen || compare(raise.rate, known.rate) != Ordering::Greater {
+        if !is_later(raise.sent, &known) || compare(raise.rate, known.rate) != Ordering::Greater {
             return None;
         }
         let RaiseEvidence { rate, sent, answers } = raise;
@@ -196,8 +201,8 @@
                 seen: known.seen.max(told.seen),
                 ..known
             },
-            Ordering::Greater if told.sent.saturating_sub(MESSAGE_DELAY) > known.seen => told,
-            Ordering::Less if known.sent <= told.seen => told,
+            Ordering::Greater if is_later(told.sent, &known) => told,
+            Ordering::Less if !is_later(known.sent, &told) => told,
             Ordering::Greater | Ordering::Less => known,
         };
         if merged.rate == told.rate {
@@ -265,6 +270,12 @@
     }
 }
 
+/// Returns whether an answer to a request that was sent at a time is newer than all those with a lower
+/// limit.
+fn is_later(sent: Duration, lower: &LimitStatement) -> bool {
+    sent > lower.seen + RAISE_MARGIN
+}
+
 /// Compares two limits; no limit is above all others.
 fn compare(a: Option<Rate>, b: Option<Rate>) -> Ordering {
     let value = |rate: Option<Rate>| rate.unwrap_or(Rate::INFINITY);
--- a/crates/decide/src/process/request_limits/mod.rs
+++ b/crates/decide/src/process/request_limits/mod.rs
@@ -1,3 +1,4 @@
 //! Limits of requests per second that endpoints name for all VMs together.
 
 pub(crate) mod log;
+pub(crate) mod permits;
--- a/crates/decide/src/request/dispatch.rs
+++ b/crates/decide/src/request/dispatch.rs
@@ -13,7 +13,8 @@
 
 use crate::ids::{AdapterId, DomainId, EndpointId, ModelId, ServiceId};
 use crate::map::{FastMap, FastSet, hash_of};
-use crate::process::request_limits::log::{LimitChange, LimitLog, NamedLimit, Rate};
+use crate::process::request_limits::log::{LimitChange, NamedLimit, Rate};
+use crate::process::request_limits::permits::{IssuedPermits, Permit, RequestLimits};
 use crate::request::availability::{Availability, AvailabilityLog, EndpointInstance, QuietRequest};
 use crate::request::route::Load;
 
@@ -98,6 +99,9 @@
     /// Every endpoint that could run the request wants nothing from this VM, the first one until this
     /// time.
     Quiet(Duration),
+    /// Every endpoint that could run the request names a limit and has been sent as many requests as it
+    /// allows; by this time, one is expected to take another.
+    Limited(Duration),
     /// Every endpoint that holds the model is full.
     Full,
 }
@@ -140,7 +144,17 @@
     services: FastMap<ServiceId, Vec<EndpointId>>,
     waiting: BTreeMap<(u8, QueueTicket), Requirements>,
     availability: AvailabilityLog,
-    limits: LimitLog,
+    limits: RequestLimits,
+    /// The permits of requests that were picked for endpoints, until their slots take them.
+    reserved: FastMap<EndpointId, Vec<Permit>>,
+}
+
+/// The result of comparing endpoints for a request.
+struct Choice<'a> {
+    /// The endpoint that can take the request now, or why there is none.
+    picked: Result<&'a EndpointId, Shortage>,
+    /// The endpoint that would be preferred to it but for the limit that it names.
+    passed: Option<&'a EndpointId>,
 }
 
 #[derive(Debug)]
@@ -178,7 +192,8 @@
             services: FastMap::default(),
             waiting: BTreeMap::new(),
             availability: AvailabilityLog::default(),
-            limits: LimitLog::default(),
+            limits: RequestLimits::default(),
+            reserved: FastMap::default(),
         }
     }
 
@@ -314,7 +329,111 @@
     ) -> Option<LimitChange> {
         // An answer of unknown age without a limit says nothing about the limit in force.
         let sent = sent.or(named.map(|_| Duration::ZERO))?;
-        self.limits.on_answer(&(name.clone(), instance), named, sent, now, true)
+        self.limits.on_answer(&(name.clone(), instance), named, sent, now)
+    }
+
+    /// Returns the limits that endpoints name, and this VM's permits.
+    pub fn limits(&mut self) -> &mut RequestLimits {
+        &mut self.limits
+    }
+
+    /// Takes the permit of a request that was picked for an endpoint.
+    pub fn take_reserved(&mut self, name: &EndpointId) -> Option<Permit> {
+        let permits = self.reserved.get_mut(name)?;
+        let permit = permits.pop();
+        if permits.is_empty() {
+            self.reserved.remove(name);
+        }
+        permit
+    }
+
+    /// Returns whether a request may be written to an instance now. `permit` is what the request holds
+    /// for the instance; it is replaced if it has lapsed.
+    pub fn may_write(
+        &mut self,
+        name: &EndpointId,
+        instance: u64,
+        permit: &mut Option<Permit>,
+        now: Duration,
+    ) -> bool {
+        if self.availability.check(name, instance, now) != Availability::Open {
+            return false;
+        }
+        let instance = (name.clone(), instance);
+        if self.limits.rate(&instance).is_none() {
+            return true;
+        }
+        if let Some(lapsed) = permit.take_if(|permit| !permit.is_valid(now)) {
+            self.limits.put_back(&instance, lapsed, now);
+        }
+        if permit.is_none() {
+            *permit = self.limits.take(&instance, now);
+        }
+        permit.is_some()
+    }
+
+    /// Returns how many of the waiting requests wait for a permit for each instance.
+    pub fn waiting_for_permits(&self, now: Duration) -> FastMap<EndpointInstance, u32> {
+        let mut waiting: FastMap<EndpointInstance, u32> = FastMap::default();
+        if self.limits.is_empty() {
+            return waiting;
+        }
+        for ((_, ticket), needs) in &self.waiting {
+            let choice = self.compare(needs, *ticket, now);
+            if let (Err(Shortage::Limited(_)), Some(name)) = (choice.picked, choice.passed) {
+                *waiting.entry(self.instance_key(name)).or_default() += 1;
+            }
+        }
+        waiting
+    }
+
+    /// Passes on a permit for a member's request that an endpoint with a limit could take.
+    pub fn pass_on_permit(
+        &mut self,
+        service: &ServiceId,
+        target: Option<ModelRef>,
+        now: Duration,
+    ) -> Option<IssuedPermits> {
+        self.limits.refresh(now);
+        let needs = Requirements {
+            service: service.clone(),
+            target,
+            urgency: 0,
+            session: 0,
+            target_deadline: now,
+            tried: Vec::new(),
+        };
+        let candidates: Vec<EndpointInstance> =
+            self.limits.limited().map(|(i, _)| i.clone()).collect();
+        let can_take = |(name, instance): &&EndpointInstance| {
+            let known = self.endpoints.get(name);
+            known.is_some_and(|endpoint| {
+                endpoint.info.instance == *instance
+                    && endpoint.info.ready
+                    && endpoint.info.service == *service
+                    && endpoint.shortage(&needs, now).is_none()
+                    && self.availability.check(name, *instance, now) == Availability::Open
+            })
+        };
+        let candidates: Vec<_> = candidates.iter().filter(can_take).collect();
+        candidates.into_iter().find_map(|instance| self.limits.pass_on_one(instance, now))
+    }
+
+    /// Forgets what is no longer needed of limits.
+    pub fn prune_limits(&mut self, now: Duration) {
+        if self.limits.is_empty() {
+            return;
+        }
+        let endpoints = &self.endpoints;
+        let is_listed = |(name, instance): &EndpointInstance| {
+            endpoints.get(name).is_some_and(|known| known.info.instance == *instance)
+        };
+        self.limits.prune(is_listed, now);
+    }
+
+    /// Returns the key of the instance of a known endpoint.
+    fn instance_key(&self, name: &EndpointId) -> EndpointInstance {
+        (name.clone(), self.instance(name).unwrap_or_default())
     }
 
     /// Returns the limit in force of an instance.
@@ -406,14 +525,29 @@
         ticket: QueueTicket,
         now: Duration,
     ) -> Result<EndpointId, Shortage> {
-        let name = self.choose(needs, ticket, now)?.clone();
-        if let Some(endpoint) = self.endpoints.get_mut(&name) {
-            endpoint.open += 1;
-            endpoint.unreported += 1;
+        self.limits.refresh(now);
+        let Choice { picked, passed } = self.compare(needs, ticket, now);
+        let picked = picked.cloned();
+        if let Some(name) = passed.filter(|_| picked.is_ok()) {
+            let instance = self.instance_key(name);
+            self.limits.on_passed(&instance);
         }
+        let name = picked?;
+        self.occupy(&name, now);
         Ok(name)
     }
 
+    /// Counts a request at an endpoint, and reserves its permit if it needs one.
+    fn occupy(&mut self, name: &EndpointId, now: Duration) {
+        let Some(endpoint) = self.endpoints.get_mut(name) else { return };
+        endpoint.open += 1;
+        endpoint.unreported += 1;
+        let instance = (name.clone(), endpoint.info.instance);
+        if let Some(permit) = self.limits.take(&instance, now) {
+            self.reserved.entry(name.clone()).or_default().push(permit);
+        }
+    }
+
     /// Returns the endpoint that [`pick`](Self::pick) would pick.
     ///
     /// # Errors
@@ -424,12 +558,18 @@
         ticket: QueueTicket,
         now: Duration,
     ) -> Result<&EndpointId, Shortage> {
+        self.compare(needs, ticket, now).picked
+    }
+
+    /// Compares the endpoints that could take a request.
+    fn compare(&self, needs: &Requirements, ticket: QueueTicket, now: Duration) -> Choice<'_> {
         let Some(names) = self.services.get(&needs.service) else {
-            return Err(Shortage::NoEndpoint);
+            return Choice { picked: Err(Shortage::NoEndpoint), passed: None };
         };
         let mut shortage = Shortage::NoEndpoint;
         let mut best: Option<(f64, &EndpointId)> = None;
         let mut paused: Option<(Duration, &EndpointId)> = None;
+        let mut limited: Vec<(f64, &EndpointId)> = Vec::new();
         for name in names {
             let endpoint = &self.endpoints[name];
             if !endpoint.info.ready {
@@ -459,22 +599,39 @@
                 }
                 None => shortage,
             };
+            let score = endpoint.score(name, needs, &self.domain, ticket, now);
+            if !self.limits.is_empty() && !self.limits.is_open(&self.instance_key(name), now) {
+                limited.push((score, name));
+                continue;
+            }
             if now < endpoint.paused_until {
                 if paused.is_none_or(|(until, _)| endpoint.paused_until < until) {
                     paused = Some((endpoint.paused_until, name));
                 }
                 continue;
             }
-            let score = endpoint.score(name, needs, &self.domain, ticket, now);
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, name));
             }
         }
+        let passed = limited.iter().copied().min_by(|(a, _), (b, _)| a.total_cmp(b));
+        let passed = passed.filter(|(score, _)| best.is_none_or(|(lowest, _)| *score < lowest));
+        if !limited.is_empty() {
+            let until = now + self.permit_wait(needs, &limited);
+            shortage = shortage.more_specific(Shortage::Limited(until));
+        }
         // If all endpoints are paused, the one whose pause ends first is tried rather than none.
-        let Some(name) = best.map(|(_, name)| name).or(paused.map(|(_, name)| name)) else {
-            return Err(shortage);
-        };
-        Ok(name)
+        let picked = best.map(|(_, name)| name).or(paused.map(|(_, name)| name)).ok_or(shortage);
+        Choice { picked, passed: passed.map(|(_, name)| name) }
+    }
+
+    /// Estimates how long a request waits for a permit of one of some endpoints.
+    fn permit_wait(&self, needs: &Requirements, limited: &[(f64, &EndpointId)]) -> Duration {
+        let instances: Vec<_> = limited.iter().map(|(_, name)| self.instance_key(name)).collect();
+        let same =
+            |other: &&Requirements| other.service == needs.service && other.target == needs.target;
+        let ahead = self.waiting.values().filter(same).count() as u32;
+        self.limits.waiting_time(instances.iter(), ahead)
     }
 
     /// Ends a request that was counted at an endpoint.
@@ -528,6 +685,7 @@
         &mut self,
         now: Duration,
     ) -> Vec<(QueueTicket, EndpointId, Requirements)> {
+        self.limits.refresh(now);
         let mut placed = Vec::new();
         let mut blocked: FastSet<(ServiceId, Option<ModelRef>, bool)> = FastSet::default();
         let mut removed = Vec::new();
@@ -543,8 +701,9 @@
                 if blocked.contains(&queue) {
                     continue;
                 }
-                match self.pick(needs, *ticket, now) {
+                match self.choose(needs, *ticket, now).cloned() {
                     Ok(name) => {
+                        self.occupy(&name, now);
                         placed.push((*ticket, name, needs.clone()));
                         removed.push((*urgency, *ticket));
                     }
@@ -578,8 +737,14 @@
 impl Shortage {
     /// Returns the shortage that says more about when there will be room.
     fn more_specific(self, other: Shortage) -> Shortage {
-        if let (Shortage::Quiet(until), Shortage::Quiet(other)) = (self, other) {
-            return Shortage::Quiet(until.min(other));
+        match (self, other) {
+            (Shortage::Quiet(until), Shortage::Quiet(other)) => {
+                return Shortage::Quiet(until.min(other));
+            }
+            (Shortage::Limited(until), Shortage::Limited(other)) => {
+                return Shortage::Limited(until.min(other));
+            }
+            _ => {}
         }
         let rank = |shortage: Shortage| match shortage {
             Shortage::NoEndpoint => 0,
@@ -588,7 +753,8 @@
             Shortage::NoAdapter => 3,
             Shortage::Tried => 4,
             Shortage::Quiet(_) => 5,
-            Shortage::Full => 6,
+            Shortage::Limited(_) => 6,
+            Shortage::Full => 7,
         };
         if rank(other) > rank(self) { other } else { self }
     }
--- a/crates/decide/tests/limit_log.rs
+++ b/crates/decide/tests/limit_log.rs
@@ -13,12 +13,12 @@
 }
 
 /// Applies answers, each with the limit, the time of its request and that of its arrival in
-/// milliseconds, and returns the limit in force.
+/// seconds, and returns the limit in force.
 fn after(answers: &[(Option<Rate>, u64, u64)]) -> Option<Rate> {
     let mut log = LimitLog::default();
     for (rate, sent, seen) in answers {
         let named = rate.map(NamedLimit::PerSecond);
-        log.on_answer(&endpoint(), named, ms(*sent), ms(*seen), true);
+        log.on_answer(&endpoint(), named, ms(*sent * 1_000), ms(*seen * 1_000), true);
     }
     log.rate(&endpoint())
 }
--- a/crates/entry/src/process/asks.rs
+++ b/crates/entry/src/process/asks.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
-use bamboocourse_decide::{Admission, FastMap, Tokens, WorkspaceId};
+use bamboocourse_decide::{Admission, FastMap, ModelRef, ServiceId, Tokens, WorkspaceId};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
+use crate::edge::clock::boot_now;
 use crate::process::quotas::TokensRefused;
-use crate::wire::{Ask, Body, Grant, Outcome, Refund};
+use crate::wire::{Ask, Body, Grant, Outcome, Permits, Refund};
 
 /// When callers may retry if no relay answers: by then another relay is found, or the request
 /// reaches another VM.
@@ -22,11 +23,18 @@
     Refund(Refund),
 }
 
+/// What a request needs of an endpoint, for a permit if the endpoint names a limit.
+pub(crate) type PermitNeeds = (ServiceId, Option<ModelRef>);
+
 /// An ask without an answer.
 #[derive(Debug)]
 pub(crate) struct OpenAsk {
     workspace: WorkspaceId,
     tokens: Tokens,
+    /// For which endpoints the request may need a permit; `None` if none names a limit.
+    permit: Option<PermitNeeds>,
+    /// When the request asked, on the boot clock.
+    asked: Duration,
     until: Instant,
     reply: oneshot::Sender<Result<Admission, TokensRefused>>,
 }
@@ -36,19 +44,29 @@
     pub(crate) fn new(
         workspace: WorkspaceId,
         tokens: Tokens,
+        permit: Option<PermitNeeds>,
         until: Instant,
     ) -> (Self, oneshot::Receiver<Result<Admission, TokensRefused>>) {
         let (reply, answer) = oneshot::channel();
-        (Self { workspace, tokens, until, reply }, answer)
+        let asked = boot_now();
+        (Self { workspace, tokens, permit, asked, until, reply }, answer)
     }
 
     fn message(&self, id: u64) -> Body {
         let timeout = self.until.saturating_duration_since(Instant::now());
+        let (service, target) = match &self.permit {
+            Some((service, target)) => (service.to_string(), target.as_ref()),
+            None => (String::new(), None),
+        };
+        let adapter = target.and_then(|target| target.adapter.as_ref());
         Body::Ask(Ask {
             id,
             workspace: self.workspace.to_string(),
             tokens: self.tokens,
             timeout: timeout.as_millis() as u32,
+            service,
+            model: target.map(|target| target.model.to_string()).unwrap_or_default(),
+            adapter: adapter.map(ToString::to_string).unwrap_or_default(),
         })
     }
 }
@@ -92,6 +110,11 @@
         self.open.iter().map(|(id, ask)| ask.message(*id)).collect()
     }
 
+    /// Returns when the request asked that a relay's answer belongs to; `None` if it no longer waits.
+    pub(crate) fn asked(&self, grant: &Grant) -> Option<Duration> {
+        self.open.get(&grant.id).map(|ask| ask.asked)
+    }
+
     /// Passes a relay's answer to the request that asked.
     pub(crate) fn on_grant(&mut self, grant: &Grant) {
         let Some(ask) = self.open.remove(&grant.id) else { return };
@@ -106,11 +129,22 @@
     }
 }
 
-/// Returns the message that answers an ask.
-pub(crate) fn grant_message(id: u64, result: Result<Admission, TokensRefused>) -> Body {
+/// Returns for which endpoints the request of an ask may need a permit.
+pub(crate) fn permit_needs(ask: &Ask) -> Option<PermitNeeds> {
+    let name = |text: &str| (!text.is_empty()).then(|| text.into());
+    let target = name(&ask.model).map(|model| ModelRef { model, adapter: name(&ask.adapter) });
+    Some((name(&ask.service)?, target))
+}
+
+/// Returns the message that answers an ask; `permit` goes with granted tokens.
+pub(crate) fn grant_message(
+    id: u64,
+    result: Result<Admission, TokensRefused>,
+    permits: Option<Permits>,
+) -> Body {
     let millis = |time: Duration| time.as_millis() as u32;
     let grant = match result {
-        Ok(Admission { floor, pool }) => Grant { id, floor, pool, ..Grant::default() },
+        Ok(Admission { floor, pool }) => Grant { id, floor, pool, permits, ..Grant::default() },
         Err(TokensRefused::Exhausted(after)) => {
             let outcome = Outcome::Exhausted.into();
             Grant { id, outcome, retry: millis(after), ..Grant::default() }
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -18,8 +18,8 @@
 
 use bamboocourse_decide::{
     ConfigStamp, DomainId, EndpointId, FastMap, Fence, Handover, Incarnation, Lease, LeaseEvent,
-    LeaseTerms, OrderReply, PartId, QuietPeriod, Relay, RelayAppointer, Roster, StoreEra,
-    StorePosition, VmId, WorkspaceId,
+    LeaseTerms, LimitNumber, OrderReply, PartId, PermitRole, QuietPeriod, Relay, RelayAppointer,
+    Roster, StoreEra, StorePosition, VmId, WorkspaceId,
 };
 use log::info;
 use tokio::sync::{mpsc, watch};
@@ -37,7 +37,9 @@
 use crate::process::roster::RosterView;
 use crate::process::scheduler::Scheduler;
 use crate::process::settings::EntrySettings;
-use crate::wire::{Body, Held, Lead as LeadMessage, ListRow, Position, Role, Status};
+use crate::wire::{
+    Body, EndpointLimit, Held, Lead as LeadMessage, ListRow, Position, Role, Status,
+};
 
 use self::lease::{CLAIM_DELAY, CLAIM_MARGIN, LEADER_TIMEOUT, LEASE_TERM, READ_INTERVAL};
 use self::news::{NewsLog, NewsNumber};
@@ -76,6 +78,8 @@
     PeerDisconnected(PeerId),
     /// The leader told this VM, a relay, what endpoints hold.
     News(Vec<Held>),
+    /// This VM, a relay, got permits for endpoints that name limits.
+    PermitsCame,
     /// A relay answered this VM's report.
     RelayAlive,
     /// The events of a message of the leader or a relay precede this one.
@@ -174,6 +178,8 @@
 /// A connected VM.
 struct Peer {
     sender: mpsc::UnboundedSender<Body>,
+    /// The VM's name, by its last report; empty before the first.
+    vm: VmId,
     /// What the VM is to this one, by its last report; `None` before the first.
     position: Option<Position>,
     /// The last change of what endpoints hold that the VM was told.
@@ -181,6 +187,8 @@
     /// The configuration and the position of the list that the VM knows or was sent.
     config: ConfigStamp,
     listed: StorePosition,
+    /// The last change of an endpoint's limit that the VM was told.
+    limits: LimitNumber,
     /// Until when the VM is told changes at once, as its callers lack a model or an adapter.
     waits_until: Duration,
 }
@@ -265,9 +273,23 @@
             }
             self.broadcast_changes();
             self.tell_held_parts();
+            self.tell_limits();
         }
     }
 
+    /// Says what this VM is for the permits for endpoints that name limits.
+    fn set_permit_role(&self) {
+        let part = self.handles.roster.rank();
+        let role = if self.leadership.is_some() {
+            PermitRole::Leader(part.relays)
+        } else if self.handles.roster.is_relay() {
+            PermitRole::Relay(part)
+        } else {
+            PermitRole::Member
+        };
+        self.handles.scheduler.set_permit_role(role);
+    }
+
     fn on_event(&mut self, event: CoordinatorEvent) {
         let now = boot_now();
         self.on_era(self.handles.store.era(), "the store", now);
@@ -277,7 +299,10 @@
                 let waits_until = Duration::ZERO;
                 let told = 0;
                 let (config, listed) = (ConfigStamp::NONE, StorePosition::START);
-                let peer_state = Peer { sender, position: None, told, config, listed, waits_until };
+                let (vm, limits) = (VmId::default(), 0);
+                let position = None;
+                let peer_state =
+                    Peer { sender, vm, position, told, config, listed, limits, waits_until };
                 self.peers.insert(peer, peer_state);
             }
             CoordinatorEvent::PeerDisconnected(peer) => {
@@ -291,6 +316,7 @@
                     self.tell_waiting_members(now);
                 }
             }
+            CoordinatorEvent::PermitsCame => self.pass_on_permits(),
             CoordinatorEvent::RelayAlive => self.leader_heard = now,
             CoordinatorEvent::LinkMessage(open) => drop(open),
             CoordinatorEvent::StoreLost => {
@@ -353,6 +379,8 @@
     fn on_tick(&mut self) {
         let now = boot_now();
         self.handles.crashes.set_leads(self.leadership.is_some());
+        self.set_permit_role();
+        self.pass_on_permits();
         self.lease.handle(LeaseEvent::Tick(now));
         self.on_era(self.handles.store.era(), "the store", now);
         if let Some(leadership) = &mut self.leadership {
@@ -426,7 +454,9 @@
         }
         if let Some(known) = self.peers.get_mut(&peer) {
             known.position = Some(position);
+            known.vm = VmId::new(&status.vm);
         }
+        self.handles.scheduler.on_limits(&status.limits, &status.raises, &status.vm);
         if position == Position::Candidate {
             // Relays that reach no leader learn from each other which endpoints ended.
             self.handles.crashes.on_report(status);
@@ -440,7 +470,8 @@
         };
         let roster = self.handles.roster.roster();
         let roster = (status.roster < roster.version).then(|| roster_message(&roster));
-        self.send(peer, LeadMessage { roster, ..reply });
+        let limits = self.limits_for(peer);
+        self.send(peer, LeadMessage { roster, limits, ..reply });
         let missing = status.demand.iter().any(|item| item.waiting > 0)
             || status.adapters.iter().any(|item| item.missing);
         if missing && self.leadership.is_some() {
@@ -464,6 +495,7 @@
         reply.funded = self.handles.quotas.can_grant();
         reply.current = self.is_current();
         self.handles.crashes.tell(&mut reply);
+        reply.permits = self.handles.scheduler.on_member_wants(status);
         if let Some(known) = self.peers.get_mut(&peer) {
             if lacks {
                 known.waits_until = now + WAITING_TIME;
@@ -525,6 +557,7 @@
         reply.floor = leadership.token_pools.floor_weight(&status.vm);
         reply.vms = leadership.active_vms(now);
         self.handles.scheduler.on_told_leaving(status);
+        reply.permits = self.handles.scheduler.issue_permits(status);
         self.handles.crashes.on_report(status);
         self.handles.crashes.tell(&mut reply);
         leadership.placement.on_unreachable(&status.unreached, now);
@@ -633,6 +666,45 @@
         }
     }
 
+    /// Returns the limits that a VM was not told yet on its connection.
+    fn limits_for(&mut self, peer: PeerId) -> Vec<EndpointLimit> {
+        let Some(peer) = self.peers.get_mut(&peer) else { return Vec::new() };
+        let limits = self.handles.scheduler.limits_after(peer.limits);
+        peer.limits = self.handles.scheduler.last_limit();
+        limits
+    }
+
+    /// Tells the VMs that report to this one which limits of endpoints have changed.
+    fn tell_limits(&mut self) {
+        let last = self.handles.scheduler.last_limit();
+        let fence = self.leadership.as_ref().map(|leadership| leadership.fence);
+        let outdated = self.peers.iter().filter(|(_, peer)| peer.limits < last);
+        let outdated: Vec<_> = outdated.map(|(id, peer)| (*id, peer.position)).collect();
+        for (id, position) in outdated {
+            let (role, fence) = match (position, fence) {
+                (Some(Position::Member), _) => (Role::Relay, 0),
+                (Some(Position::ReportingRelay), Some(fence)) => (Role::Leader, fence),
+                _ => continue,
+            };
+            let limits = self.limits_for(id);
+            let role = role.into();
+            self.send(id, LeadMessage { fence, role, limits, ..LeadMessage::default() });
+        }
+    }
+
+    /// Passes on this relay's permits to the requests of its members that wait.
+    fn pass_on_permits(&self) {
+        for peer in self.peers.values().filter(|peer| peer.position == Some(Position::Member)) {
+            let permits = self.handles.scheduler.pass_on_permits(&peer.vm);
+            if !permits.is_empty() {
+                let role = Role::Relay.into();
+                let message = LeadMessage { role, permits, ..LeadMessage::default() };
+                // If the connection has ended, the permits lapse.
+                let _ = peer.sender.send(Body::Lead(message));
+            }
+        }
+    }
+
     /// Tells the members whose callers lack a model or an adapter what has changed at endpoints; the
     /// others learn of it with the reply to their next report.
     fn tell_waiting_members(&mut self, now: Duration) {
--- a/crates/entry/src/process/coordinator/orders.rs
+++ b/crates/entry/src/process/coordinator/orders.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bamboocourse_decide::{
-    Availability, EndpointId, EndpointReport, Fence, OrderCommand, OrderReply,
-};
+use bamboocourse_decide::{EndpointId, EndpointReport, Fence, OrderCommand, OrderReply};
 use bytes::Bytes;
 use http::response::Parts;
 use http::{Request, StatusCode};
@@ -117,9 +115,9 @@
 }
 
 impl EndpointLine {
-    /// Returns whether the endpoint neither leaves nor wants quiet.
+    /// Returns whether the endpoint neither leaves nor wants quiet, and takes one more request.
     fn may_send(&self) -> bool {
-        self.scheduler.availability(&self.endpoint, self.instance) == Availability::Open
+        self.scheduler.may_write_own(&self.endpoint, self.instance)
     }
 
     /// Sends a request, unless the endpoint may not be sent to, and returns the head of the answer.
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    ConfigStamp, EndpointId, Handover, Incarnation, Relay, Roster, StorePosition, VmId,
+    ConfigStamp, EndpointId, Handover, Incarnation, LimitNumber, Relay, Roster, StorePosition, VmId,
 };
 use futures_util::{SinkExt, StreamExt};
 use log::{info, warn};
@@ -20,7 +20,7 @@
 use crate::edge::clock::boot_now;
 use crate::edge::{StoreRow, socket};
 use crate::process::active_fleet::ActiveFleet;
-use crate::process::asks::{Asks, RELAY_RETRY_DELAY, grant_message};
+use crate::process::asks::{Asks, RELAY_RETRY_DELAY, grant_message, permit_needs};
 use crate::process::coordinator::{CoordinatorEvent, PeerId};
 use crate::process::crashes::Crashes;
 use crate::process::endpoint_list::{EndpointList, ListEntry, ListUpdate};
@@ -122,6 +122,7 @@
 pub(crate) struct PeerServices {
     pub(crate) events: mpsc::UnboundedSender<CoordinatorEvent>,
     pub(crate) quotas: Arc<Quotas>,
+    pub(crate) scheduler: Arc<Scheduler>,
     pub(crate) metrics: Arc<Metrics>,
 }
 
@@ -227,10 +228,10 @@
     let Ok(permit) = open_asks.clone().try_acquire_owned() else {
         let refused = TokensRefused::Unavailable(RELAY_RETRY_DELAY);
         // The receiver is gone if the connection has ended.
-        let _ = sender.send(grant_message(ask.id, Err(refused)));
+        let _ = sender.send(grant_message(ask.id, Err(refused), None));
         return;
     };
-    let quotas = services.quotas.clone();
+    let (quotas, scheduler) = (services.quotas.clone(), services.scheduler.clone());
     tokio::spawn(async move {
         let timeout = Duration::from_millis(u64::from(ask.timeout));
         let admitting = quotas.admit_for_member(&ask.workspace, ask.tokens, timeout);
@@ -238,7 +239,10 @@
             result = admitting => result,
             () = sender.closed() => return,
         };
-        let _ = sender.send(grant_message(ask.id, result));
+        let needs = permit_needs(&ask).filter(|_| result.is_ok());
+        let permits =
+            needs.and_then(|(service, target)| scheduler.pass_on_permit(&service, target));
+        let _ = sender.send(grant_message(ask.id, result, permits));
         drop(permit);
     });
 }
@@ -425,6 +429,8 @@
             };
             let mut status = self.status(ConfigStamp::MAX, position, true);
             status.heard = status.sent;
+            // The coordinator shares this VM's limits.
+            self.scheduler.report_limits(&mut status, LimitNumber::MAX);
             let _ = self.events.send(CoordinatorEvent::Status(0, Box::new(status), None));
             if position == Position::Candidate {
                 // Without another VM, the seeds and the lease's row are tried again.
@@ -458,6 +464,9 @@
         let mut full = true;
         // The number of the last end of an endpoint that the other VM was told.
         let mut told_ends = 0;
+        // The number of the last change of a limit that the other VM was told.
+        let mut told_limits = 0;
+        self.scheduler.on_new_upper();
         // The leader's clock in its last reply, and this VM's clock when the reply arrived.
         let mut clock: Option<(u64, Duration)> = None;
         loop {
@@ -485,6 +494,11 @@
                         Some(Ok(Received { body: Body::Lead(message), memory })) => (message, memory),
                         Some(Ok(Received { body: Body::Grant(grant), .. })) => {
                             heard = Instant::now();
+                            if let (Some(permits), Some(asked)) =
+                                (&grant.permits, self.asks.asked(&grant))
+                            {
+                                self.scheduler.on_permits(std::slice::from_ref(permits), asked);
+                            }
                             self.asks.on_grant(&grant);
                             continue;
                         }
@@ -555,6 +569,7 @@
             status.heard = clock.map_or(0, |(leader, at)| {
                 leader + (boot_now().saturating_sub(at)).as_millis() as u64
             });
+            told_limits = self.scheduler.report_limits(&mut status, told_limits);
             told_ends = self.crashes.report(&mut status, told_ends, full);
             full = false;
             if framed.send(Body::Status(status)).await.is_err() {
@@ -637,6 +652,7 @@
             });
         }
         self.crashes.on_told(message);
+        self.apply_limits(message);
         match message.role() {
             Role::None => {}
             Role::Relay => self.apply_relay(message),
@@ -644,6 +660,26 @@
         }
     }
 
+    /// Applies the limits that endpoints name and the permits for this VM.
+    fn apply_limits(&self, message: &Lead) {
+        let from = match message.role() {
+            Role::Leader => "the leader",
+            Role::Relay => "a relay",
+            Role::None => "another VM",
+        };
+        self.scheduler.on_limits(&message.limits, &[], from);
+        let sent = Duration::from_millis(message.sent);
+        if message.role() == Role::Leader && message.sent > 0 {
+            self.scheduler.on_leader_reply(sent);
+        }
+        // Permits that this VM did not ask for now are passed on for requests that wait.
+        let asked = if message.sent > 0 { sent } else { boot_now() };
+        if self.scheduler.on_permits(&message.permits, asked) && self.roster.is_relay() {
+            // The receiver is gone only while the process shuts down.
+            let _ = self.events.send(CoordinatorEvent::PermitsCame);
+        }
+    }
+
     /// Applies what only a relay tells its members.
     fn apply_relay(&self, message: &Lead) {
         // The receiver is gone only while the process shuts down.
--- a/crates/entry/src/process/quotas.rs
+++ b/crates/entry/src/process/quotas.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use crate::edge::clock::boot_now;
-use crate::process::asks::{OpenAsk, RELAY_RETRY_DELAY, RelayRequest};
+use crate::process::asks::{OpenAsk, PermitNeeds, RELAY_RETRY_DELAY, RelayRequest};
 use crate::process::roster::RosterView;
 use crate::process::settings::Bounds;
 use crate::wire::{Ceiling, FloorSpend, Refund, Spend};
@@ -190,12 +190,15 @@
 
     /// Admits a request's tokens, waiting for them for at most `timeout`.
     ///
+    /// A relay that is asked for them also passes on a permit by `permit`, if it has one.
+    ///
     /// # Errors
     /// Returns why not, with the time after which the caller may retry.
     pub(crate) async fn admit(
         &self,
         workspace: &WorkspaceId,
         tokens: Tokens,
+        permit: Option<PermitNeeds>,
         timeout: Duration,
     ) -> Result<TokenGrant, TokensRefused> {
         if self.is_relay() {
@@ -203,7 +206,7 @@
             return Ok(TokenGrant { admission, asked: false });
         }
         let until = Instant::now() + timeout;
-        let (ask, answer) = OpenAsk::new(workspace.clone(), tokens, until);
+        let (ask, answer) = OpenAsk::new(workspace.clone(), tokens, permit, until);
         // The receiver is gone only while the process shuts down.
         let _ = self.relay_requests.send(RelayRequest::Ask(ask));
         match tokio::time::timeout_at(until, answer).await {
--- a/crates/entry/src/process/roster.rs
+++ b/crates/entry/src/process/roster.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bamboocourse_decide::{Relay, Roster, hash_of};
+use bamboocourse_decide::{Relay, RelayPart, Roster, hash_of};
 use log::info;
 use tokio::sync::watch;
 
@@ -107,6 +107,15 @@
         }
     }
 
+    /// Returns the number of relays and the rank of this VM among them, by name.
+    pub(crate) fn rank(&self) -> RelayPart {
+        let state = self.state();
+        let relays = &state.roster.relays;
+        let own = &self.settings.vm;
+        let rank = relays.iter().filter(|relay| relay.vm < *own).count();
+        RelayPart { relays: relays.len().max(1) as u32, rank: rank as u32 }
+    }
+
     /// Returns whether this VM's domain has fewer relays than it should have.
     pub(crate) fn is_short(&self) -> bool {
         self.state().roster.is_short(&self.settings.domain)
--- a/crates/entry/src/process/scheduler.rs
+++ b/crates/entry/src/process/scheduler.rs
@@ -1,13 +1,15 @@
 //! Assigns requests to endpoints, and holds the requests that wait for a slot.
 
+mod limits;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bamboocourse_decide::{
     AdapterId, Availability, Dispatcher, DomainId, EndpointId, EndpointInstance, FastMap, FastSet,
-    LimitChange, Load, ModelId, ModelRef, NamedLimit, QueueTicket, Requirements, ResidentModels,
-    SendOutcome, ServiceId, Shortage, VmId,
+    Load, ModelId, ModelRef, Permit, QueueTicket, Requirements, ResidentModels, SendOutcome,
+    ServiceId, Shortage, VmId,
 };
 use log::info;
 use tokio::sync::{Notify, oneshot};
@@ -74,6 +76,8 @@
     /// The service and model that the slot counts for, if the service has models.
     model: Option<(ServiceId, ModelId)>,
     outcome: SendOutcome,
+    /// The permit for the request, if the endpoint names a limit and the request is not written yet.
+    permit: Mutex<Option<Permit>>,
 }
 
 impl EndpointSlot {
@@ -95,9 +99,18 @@
         self.scheduler.on_head(&self.name, self.instance, head, sent, cause)
     }
 
-    /// Returns whether the endpoint may be sent to now.
-    pub(crate) fn availability(&self) -> Availability {
-        self.scheduler.availability(&self.name, self.instance)
+    /// Returns whether the request may be written to the endpoint now.
+    pub(crate) fn may_write(&self) -> bool {
+        self.scheduler.may_write(self)
+    }
+
+    /// Records that the request was written to the endpoint.
+    pub(crate) fn on_written(&self) {
+        self.scheduler.on_written(self);
+    }
+
+    fn permit(&self) -> MutexGuard<'_, Option<Permit>> {
+        self.permit.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns whether the endpoint leaves, by its answers or by its entry in the list.
@@ -124,7 +137,12 @@
 impl Drop for EndpointSlot {
     fn drop(&mut self) {
         let now = boot_now();
+        let permit = self.permit().take();
         let mut state = self.scheduler.state();
+        if let Some(permit) = permit {
+            let instance = (self.name.clone(), self.instance);
+            state.dispatcher.limits().put_back(&instance, permit, now);
+        }
         state.dispatcher.finish(&self.name, self.outcome, now);
         if self.outcome == SendOutcome::Unreachable {
             state.unreachable.insert(self.name.clone());
@@ -240,28 +258,6 @@
         matches!(self.availability(name, instance), Availability::QuietUntil(_))
     }
 
-    /// Records what the head of an instance's answer says about the requests that it takes.
-    fn on_named_limit(
-        &self,
-        name: &EndpointId,
-        instance: u64,
-        named: Option<NamedLimit>,
-        sent: Option<Duration>,
-        cause: &str,
-    ) {
-        let mut state = self.state();
-        let dispatcher = &mut state.dispatcher;
-        let change = dispatcher.on_named_limit(name, instance, named, sent, boot_now());
-        if dispatcher.limit(name, instance).is_some() {
-            self.metrics.limited_answers.add(1, &[]);
-        }
-        drop(state);
-        if let Some(LimitChange { former, rate }) = change {
-            info!(endpoint = name.as_str(), born = instance, id = cause, former, rate;
-                "the limit of requests that an endpoint names has changed");
-        }
-    }
-
     /// Records that an instance of an endpoint leaves.
     fn on_leaving(self: &Arc<Self>, name: &EndpointId, instance: u64, cause: &str) {
         let mut state = self.state();
@@ -411,6 +407,10 @@
             }
             self.shortage.notify_one();
         }
+        if matches!(picked, Err(Shortage::Limited(_))) {
+            // Waiting requests are reported, and so is the demand that another endpoint has to serve.
+            self.shortage.notify_one();
+        }
         picked.and_then(|name| self.occupy(&mut state, name, needs).ok_or(Shortage::NoEndpoint))
     }
 
@@ -522,8 +522,10 @@
         let Some(address) = state.addresses.get(&name).copied() else {
             info!(endpoint = name.as_str(); "an endpoint without an address was picked");
             state.dispatcher.finish(&name, SendOutcome::Neutral, boot_now());
+            state.dispatcher.take_reserved(&name);
             return None;
         };
+        let permit = Mutex::new(state.dispatcher.take_reserved(&name));
         let model = needs.target.as_ref().map(|target| {
             let key = (needs.service.clone(), target.model.clone());
             *state.open.entry(key.clone()).or_default() += 1;
@@ -540,6 +542,7 @@
             utilization,
             model,
             outcome: SendOutcome::Neutral,
+            permit,
         })
     }
 
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -164,7 +164,12 @@
         tasks.spawn(follow::follow(store.clone(), config, roster.clone(), metrics.clone()));
         tasks.spawn(follow::follow(store, Sink::Endpoints(endpoint_list), roster, metrics.clone()));
         tasks.spawn(Coordinator::new(handles, life).run(event_receiver));
-        let services = PeerServices { events: events.clone(), quotas: quotas.clone(), metrics };
+        let services = PeerServices {
+            events: events.clone(),
+            quotas: quotas.clone(),
+            scheduler: scheduler.clone(),
+            metrics,
+        };
         tasks.spawn(link::accept(peer, services, pool.budget().clone()));
         tasks.spawn(link.run());
         tasks.spawn(run_upkeep(scheduler, crashes, pool));
@@ -237,6 +242,7 @@
         scheduler.dispatch_waiting();
         scheduler.record_availability();
         crashes.prune();
+        scheduler.prune_limits();
         pool.prune();
     }
 }
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -220,7 +220,11 @@
                     .tokens
                     .map_or(workspace.default_cost, |(prompt, output)| prompt + output);
                 let timeout = TOKEN_TIMEOUT.min(route.latency_target / 2);
-                let admission = self.quotas.admit(&workspace.name, tokens, timeout).await;
+                let permit = self.scheduler.has_limits().then(|| {
+                    let target = request.target.clone();
+                    (service.clone(), target)
+                });
+                let admission = self.quotas.admit(&workspace.name, tokens, permit, timeout).await;
                 let admission = admission.map_err(|refused| match refused {
                     TokensRefused::Exhausted(after) => {
                         let detail =
--- a/crates/entry/src/request/send.rs
+++ b/crates/entry/src/request/send.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bamboocourse_decide::{Availability, ErrorKind, Refusal, SendOutcome};
+use bamboocourse_decide::{ErrorKind, Refusal, SendOutcome};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -51,7 +51,8 @@
     /// The endpoint has certainly not run the request and may be sent it again later: it is still
     /// loading the model or adapter, or wants quiet for a time.
     NotYet(Refusal),
-    /// Nothing was written, as the endpoint was found to leave or to want quiet since it was picked.
+    /// Nothing was written, as the endpoint was found to leave, to want quiet or to take no more requests
+    /// for now since it was picked.
     Withheld,
     /// The endpoint may have run the request.
     Unknown(Refusal),
@@ -95,8 +96,7 @@
             }
         };
         // An answer to another request may have come since the endpoint was picked.
-        let may_send =
-            || slot.availability() == Availability::Open && self.check_send(job, runs).is_none();
+        let may_send = || self.check_send(job, runs).is_none() && slot.may_write();
         let began = boot_now();
         let result = {
             let sending = self.pool.send_if(slot.address, request, may_send);
@@ -112,6 +112,9 @@
                 break result;
             }
         };
+        if !matches!(result, Ok(Err(SendError::NotSent(_) | SendError::Withheld))) {
+            slot.on_written();
+        }
         let (response, connection) = match result {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::NotSent(why))) => {
--- a/crates/entry/src/request/slot.rs
+++ b/crates/entry/src/request/slot.rs
@@ -51,10 +51,13 @@
                 (max_wait.min(NO_ENDPOINT_TIMEOUT), DEFAULT_RETRY_AFTER * 2)
             }
             Shortage::Tried => (Duration::ZERO, DEFAULT_RETRY_AFTER),
-            Shortage::Quiet(until) if until.saturating_sub(boot_now()) < max_wait.min(left) => {
+            Shortage::Quiet(until) | Shortage::Limited(until)
+                if until.saturating_sub(boot_now()) < max_wait.min(left) =>
+            {
                 (max_wait, DEFAULT_RETRY_AFTER)
             }
             Shortage::Quiet(_) => return Err(self.quiet_refusal(needs)),
+            Shortage::Limited(_) => return Err(self.limited_refusal(needs)),
         };
         if !timeout.is_zero()
             && let Some(slot) = self.wait_for_slot(needs, timeout, last_phase(trace)).await
@@ -63,15 +66,24 @@
             return Ok(slot);
         }
         trace.end_wait();
-        if let Some(Shortage::Quiet(until)) = self.scheduler.shortage(needs) {
-            trace.note_shortage(Shortage::Quiet(until));
-            return Err(self.quiet_refusal(needs));
+        match self.scheduler.shortage(needs) {
+            Some(Shortage::Quiet(until)) => {
+                trace.note_shortage(Shortage::Quiet(until));
+                return Err(self.quiet_refusal(needs));
+            }
+            Some(Shortage::Limited(until)) => {
+                trace.note_shortage(Shortage::Limited(until));
+                return Err(self.limited_refusal(needs));
+            }
+            _ => {}
         }
         if shortage == Shortage::Leaving {
             self.metrics.count_unavailable("leaving");
         }
         let kind = match shortage {
-            Shortage::Full | Shortage::NoAdapter | Shortage::Quiet(_) => ErrorKind::Overloaded,
+            Shortage::Full | Shortage::NoAdapter | Shortage::Quiet(_) | Shortage::Limited(_) => {
+                ErrorKind::Overloaded
+            }
             Shortage::NoEndpoint | Shortage::Leaving | Shortage::NotResident | Shortage::Tried => {
                 ErrorKind::NoEndpoint
             }
@@ -92,6 +104,22 @@
         }
     }
 
+    /// Builds the refusal of a request whose remaining endpoints have all been sent as many requests as
+    /// the limits allow that they name.
+    fn limited_refusal(&self, needs: &Requirements) -> Refusal {
+        self.metrics.count_unavailable("limited");
+        let wait = match self.scheduler.shortage(needs) {
+            Some(Shortage::Limited(until)) => until.saturating_sub(boot_now()),
+            _ => DEFAULT_RETRY_AFTER,
+        };
+        let detail = format!(
+            "the endpoints left take no more than the limits that they name; one may take a request \
+             in {} ms",
+            wait.as_millis()
+        );
+        Refusal::not_run(ErrorKind::Overloaded, detail).retry_after(wait)
+    }
+
     /// Builds the refusal of a request whose remaining endpoints all want quiet.
     ///
     /// The caller's next request may also go to the endpoints that this one was sent to.
--- a/crates/entry/src/request/trace.rs
+++ b/crates/entry/src/request/trace.rs
@@ -89,6 +89,7 @@
             Shortage::Leaving => "all leave",
             Shortage::Tried => "all tried",
             Shortage::Quiet(_) => "all quiet",
+            Shortage::Limited(_) => "all limited",
             Shortage::Full => "all full",
         });
     }
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -112,6 +112,101 @@
     /// The parts of prompts that the sender holds back; only in the first report of a connection.
     #[prost(message, repeated, tag = "33")]
     pub held_parts: ::prost::alloc::vec::Vec<HeldPart>,
+    /// The limits of requests that endpoints name, as far as the receiver may not know them.
+    #[prost(message, repeated, tag = "34")]
+    pub limits: ::prost::alloc::vec::Vec<EndpointLimit>,
+    /// Answers that name higher limits, or none.
+    #[prost(message, repeated, tag = "35")]
+    pub raises: ::prost::alloc::vec::Vec<LimitRaise>,
+    /// The permits for endpoints with limits that are wanted or were not used.
+    #[prost(message, repeated, tag = "36")]
+    pub wants: ::prost::alloc::vec::Vec<PermitWant>,
+}
+/// The limit of requests of an endpoint that is in force, or has ended.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct EndpointLimit {
+    /// The name of the endpoint.
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// The start of the endpoint's process, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    /// The requests per second that the endpoint takes from all VMs together.
+    #[prost(double, tag = "3")]
+    pub rate: f64,
+    /// Whether the endpoint names no limit any more; `rate` has no meaning then.
+    #[prost(bool, tag = "4")]
+    pub ended: bool,
+    /// How long ago the requests were sent, at the most, whose answers say so, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub sent_age: u64,
+    /// How long ago the last answer arrived that says so, in milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub seen_age: u64,
+}
+/// Answers of an endpoint that name a higher limit than the one in force, or none.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LimitRaise {
+    /// The name of the endpoint.
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// The start of the endpoint's process, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    /// The lowest limit that they name.
+    #[prost(double, tag = "3")]
+    pub rate: f64,
+    /// Whether none of them names a limit; `rate` has no meaning then.
+    #[prost(bool, tag = "4")]
+    pub ended: bool,
+    /// How long ago the first of the requests was sent, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub sent_age: u64,
+    /// The number of answers.
+    #[prost(uint32, tag = "6")]
+    pub answers: u32,
+}
+/// The requests of a VM that want permits for an endpoint, and what became of its permits since its last
+/// report.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PermitWant {
+    /// The name of the endpoint.
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// The start of the endpoint's process, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    /// The requests that wait for a permit.
+    #[prost(uint32, tag = "3")]
+    pub waiting: u32,
+    /// The requests that were sent elsewhere for lack of a permit.
+    #[prost(uint32, tag = "4")]
+    pub passed: u32,
+    /// The permits that were used.
+    #[prost(uint32, tag = "5")]
+    pub used: u32,
+    /// The permits that have lapsed unused.
+    #[prost(uint32, tag = "6")]
+    pub returned: u32,
+}
+/// Permits to send requests to an endpoint.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Permits {
+    /// The name of the endpoint.
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// The start of the endpoint's process, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    /// The number of requests.
+    #[prost(uint32, tag = "3")]
+    pub count: u32,
+    /// How long the permits are valid from when the receiver asked for them, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub term: u32,
+    /// The number of requests in the fleet that wait for a permit.
+    #[prost(uint32, tag = "5")]
+    pub backlog: u32,
 }
 /// The end of an endpoint's process under requests that it had not been seen to answer.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -371,6 +466,12 @@
     /// Whether the message says which parts the sender holds back.
     #[prost(bool, tag = "33")]
     pub tells_parts: bool,
+    /// The limits of requests that endpoints name, as far as the receiver may not know them.
+    #[prost(message, repeated, tag = "34")]
+    pub limits: ::prost::alloc::vec::Vec<EndpointLimit>,
+    /// Permits for the receiver.
+    #[prost(message, repeated, tag = "35")]
+    pub permits: ::prost::alloc::vec::Vec<Permits>,
 }
 /// The relays of the fleet.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -416,9 +517,18 @@
     /// How long the relay may wait for tokens, in milliseconds.
     #[prost(uint32, tag = "4")]
     pub timeout: u32,
+    /// The service that the request goes to, if an endpoint of it has a limit; empty otherwise.
+    #[prost(string, tag = "5")]
+    pub service: ::prost::alloc::string::String,
+    /// The model that it names; empty if it names none.
+    #[prost(string, tag = "6")]
+    pub model: ::prost::alloc::string::String,
+    /// The adapter that it names; empty if it names none.
+    #[prost(string, tag = "7")]
+    pub adapter: ::prost::alloc::string::String,
 }
 /// A relay's reply to an ask.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Grant {
     /// The `id` of the ask.
     #[prost(uint64, tag = "1")]
@@ -435,6 +545,9 @@
     /// When the caller of a denied request may retry, in milliseconds.
     #[prost(uint32, tag = "5")]
     pub retry: u32,
+    /// A permit for an endpoint with a limit that may take the request.
+    #[prost(message, optional, tag = "6")]
+    pub permits: ::core::option::Option<Permits>,
 }
 /// Tokens that were granted by an ask and not used.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
