Placement counts what the limits of endpoints leave

A model or adapter whose only holder names a low limit counted as held, so no other endpoint loaded it: requests beyond the limit were refused while endpoints had room. Replicas at such endpoints no longer count for a model in demand, adapters are loaded elsewhere, nothing is loaded there, and orders and requests for reports count against the limit.

--- a/crates/decide/src/process/placement/service.rs
+++ b/crates/decide/src/process/placement/service.rs
@@ -38,6 +38,11 @@
 const LAST_REPLICA_COST: f64 = 0.8;
 /// A replica with this many concurrent requests counts as busy.
 const BUSY_REPLICA_REQUESTS: f64 = 0.5;
+/// A model with this many concurrent requests or more counts no replicas of endpoints that name a low
+/// limit: what they cannot take needs another replica.
+const LIMITED_REPLICA_REQUESTS: f64 = 0.5;
+/// Extra cost of an adapter at an endpoint that names a low limit.
+const LIMITED_ENDPOINT_COST: f64 = 2.0;
 /// How long after the first demand no trend is derived: a rise in this time cannot be distinguished
 /// from the start of all traffic.
 const STARTUP_PERIOD: Duration = Duration::from_millis(1_500);
@@ -89,6 +94,8 @@
     pub cached: FastSet<ModelId>,
     /// Whether an order may be sent to it now.
     pub idle: bool,
+    /// Whether it names a limit of requests that leaves most of its slots empty.
+    pub limited: bool,
 }
 
 /// An order that the planner wants to be sent.
@@ -219,7 +226,7 @@
         self.clearing.retain(|name, (_, until)| {
             now < *until && endpoints.iter().any(|endpoint| endpoint.name == *name)
         });
-        for endpoint in endpoints.iter_mut().filter(|endpoint| endpoint.idle) {
+        for endpoint in endpoints.iter_mut().filter(|endpoint| endpoint.idle && !endpoint.limited) {
             let Some((model, _)) = self.clearing.get(&endpoint.name).cloned() else { continue };
             let Some(spec) = engine.models.get(&model) else { continue };
             let fits = engine.memory - endpoint.charged_memory(engine) >= spec.memory;
@@ -256,7 +263,7 @@
         now: Duration,
         orders: &mut Vec<PlannedOrder>,
     ) {
-        let mut replicas = count_replicas(endpoints);
+        let mut replicas = self.count_replicas(endpoints);
         for (model, _) in self.clearing.values() {
             *replicas.entry(model.clone()).or_default() += 1;
         }
@@ -331,6 +338,20 @@
         }
     }
 
+    /// Counts the replicas of each model that serve its demand, including those being loaded.
+    fn count_replicas(&self, endpoints: &[EndpointView]) -> FastMap<ModelId, usize> {
+        let mut replicas: FastMap<ModelId, usize> = FastMap::default();
+        for endpoint in endpoints {
+            for model in endpoint.resident.keys().chain(&endpoint.loading_model) {
+                let level = self.demand.get(model).map_or(0.0, |demand| demand.level);
+                if !endpoint.limited || level < LIMITED_REPLICA_REQUESTS {
+                    *replicas.entry(model.clone()).or_default() += 1;
+                }
+            }
+        }
+        replicas
+    }
+
     /// Returns the number of loads from the weight store that run, or will run once room is made.
     fn count_store_loads(&self, endpoints: &[EndpointView]) -> usize {
         let from_store = |endpoint: &&EndpointView| {
@@ -485,21 +506,25 @@
             self.missing_adapters.iter().map(|(key, at)| (*at, key.clone())).collect();
         missing.sort();
         // Adapters do not change the number of replicas.
-        let replicas = count_replicas(endpoints);
+        let replicas = self.count_replicas(endpoints);
         for (requested, key) in missing {
             let (model, adapter) = &key;
             if now > requested + ADAPTER_REQUEST_TIMEOUT
-                || endpoints.iter().any(|endpoint| endpoint.has_adapter(&key))
+                || endpoints.iter().any(|other| !other.limited && other.has_adapter(&key))
             {
                 self.missing_adapters.remove(&key);
                 continue;
             }
             let mut best: Option<(f64, usize, Option<AdapterKey>)> = None;
             for (index, endpoint) in endpoints.iter().enumerate() {
-                if !endpoint.idle || !endpoint.resident.contains_key(model) {
+                let can_hold = endpoint.resident.contains_key(model) && !endpoint.has_adapter(&key);
+                if !endpoint.idle || !can_hold {
                     continue;
                 }
                 let mut cost = self.utilization(endpoint, engine, &replicas);
+                if endpoint.limited {
+                    cost += LIMITED_ENDPOINT_COST;
+                }
                 let mut victim = None;
                 if !endpoint.has_adapter_room(&key, None, engine) {
                     let Some((idle, unused)) = self.idle_adapter(endpoint, now) else { continue };
@@ -591,7 +616,7 @@
             for model in endpoint.resident.keys().chain(&endpoint.loading_model) {
                 holders.entry(model.clone()).or_default().push(index);
             }
-            if endpoint.idle && !clearing.contains_key(&endpoint.name) {
+            if endpoint.idle && !endpoint.limited && !clearing.contains_key(&endpoint.name) {
                 idle.push(index);
             }
         }
@@ -599,17 +624,6 @@
     }
 }
 
-/// Counts the replicas of each model, including those being loaded.
-fn count_replicas(endpoints: &[EndpointView]) -> FastMap<ModelId, usize> {
-    let mut replicas: FastMap<ModelId, usize> = FastMap::default();
-    for endpoint in endpoints {
-        for model in endpoint.resident.keys().chain(&endpoint.loading_model) {
-            *replicas.entry(model.clone()).or_default() += 1;
-        }
-    }
-    replicas
-}
-
 impl EndpointView {
     /// Returns whether the endpoint holds an adapter or is loading it.
     fn has_adapter(&self, key: &AdapterKey) -> bool {
--- a/crates/decide/src/process/request_limits/permits.rs
+++ b/crates/decide/src/process/request_limits/permits.rs
@@ -417,16 +417,27 @@
         account.expire(now);
     }
 
-    /// Takes a permit for what the leader itself sends to an instance, ahead of requests; returns
-    /// whether there is one, or none is needed.
-    pub fn take_ahead(&mut self, instance: &EndpointInstance, now: Duration) -> bool {
+    /// Returns whether the leader itself may send something to an instance now, ahead of requests. It may
+    /// use up what the next requests would have got.
+    pub fn has_room_ahead(&mut self, instance: &EndpointInstance, now: Duration) -> bool {
         let Some(rate) = self.log.rate(instance) else { return true };
         let PermitRole::Leader(relays) = self.role else { return false };
         let rate = issue_rate(rate) * self.present_part(relays, now);
         let bucket = self.accounts.entry(instance.clone()).or_default().bucket(now);
         bucket.fill(rate, now);
-        let is_allowed = bucket.tokens > -burst(rate);
-        bucket.tokens -= f64::from(u8::from(is_allowed));
+        bucket.tokens > -burst(rate)
+    }
+
+    /// Takes a permit for what the leader itself sends to an instance, ahead of requests; returns
+    /// whether there is one, or none is needed.
+    pub fn take_ahead(&mut self, instance: &EndpointInstance, now: Duration) -> bool {
+        let is_allowed = self.has_room_ahead(instance, now);
+        if is_allowed
+            && let Some(account) = self.accounts.get_mut(instance)
+            && self.log.rate(instance).is_some()
+        {
+            account.bucket(now).tokens -= 1.0;
+        }
         is_allowed
     }
 
--- a/crates/decide/src/request/dispatch.rs
+++ b/crates/decide/src/request/dispatch.rs
@@ -528,7 +528,7 @@
         self.limits.refresh(now);
         let Choice { picked, passed } = self.compare(needs, ticket, now);
         let picked = picked.cloned();
-        if let Some(name) = passed.filter(|_| picked.is_ok()) {
+        if let Some(name) = passed.filter(|_| !matches!(picked, Err(Shortage::Limited(_)))) {
             let instance = self.instance_key(name);
             self.limits.on_passed(&instance);
         }
@@ -744,6 +744,9 @@
             (Shortage::Limited(until), Shortage::Limited(other)) => {
                 return Shortage::Limited(until.min(other));
             }
+            // An adapter is loaded sooner than most limits allow another request.
+            (Shortage::NoAdapter, Shortage::Limited(_))
+            | (Shortage::Limited(_), Shortage::NoAdapter) => return Shortage::NoAdapter,
             _ => {}
         }
         let rank = |shortage: Shortage| match shortage {
--- a/crates/decide/tests/service_planner.rs
+++ b/crates/decide/tests/service_planner.rs
@@ -62,6 +62,7 @@
             late_adapters: Vec::new(),
             cached: cached.map(model).collect(),
             idle: true,
+            limited: false,
         }
     };
     (0..ENDPOINTS).map(endpoint).collect()
--- a/crates/decide/tests/tracker.rs
+++ b/crates/decide/tests/tracker.rs
@@ -247,6 +247,7 @@
             late_adapters: Vec::new(),
             cached: FastSet::default(),
             idle: self.tracker.is_idle(),
+            limited: false,
         }];
         for planned in self.planner.plan(&engine(), &mut endpoints, &mut self.limiter, self.now) {
             let key =
@@ -480,6 +481,7 @@
         late_adapters: Vec::new(),
         cached: FastSet::default(),
         idle: true,
+        limited: false,
     };
     let mut unloads: FastMap<ModelId, usize> = FastMap::default();
     let mut busy: FastSet<EndpointId> = FastSet::default();
--- a/crates/entry/src/process/coordinator/placement.rs
+++ b/crates/entry/src/process/coordinator/placement.rs
@@ -17,6 +17,9 @@
 
 /// How long a VM's report of its demand counts.
 const DEMAND_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// A limit below this many requests per second and slot leaves most of an endpoint's slots empty, as a
+/// request takes about a second.
+const LOW_LIMIT_PER_SLOT: f64 = 0.5;
 
 /// The endpoints and planners of the services that have models.
 pub(crate) struct EndpointPlacement {
@@ -263,6 +266,11 @@
                     let mut view = endpoint_view(name, tracker, listed, now);
                     view.idle &= quiet_period.allows(name, now);
                     view.idle &= availability == Availability::Open;
+                    if let Some(limit) = scheduler.order_limit(name, listed.info.instance) {
+                        view.idle &= limit.has_room;
+                        let slots = f64::from(listed.info.slots);
+                        view.limited = limit.rate < slots * LOW_LIMIT_PER_SLOT;
+                    }
                     (availability != Availability::Leaving).then_some(view)
                 })
                 .collect();
@@ -354,6 +362,7 @@
             .collect(),
         cached: tracker.cached().clone(),
         idle: tracker.is_idle(),
+        limited: false,
     }
 }
 
--- a/crates/entry/src/process/scheduler.rs
+++ b/crates/entry/src/process/scheduler.rs
@@ -399,18 +399,16 @@
         let ticket = state.last_ticket;
         self.record_adapter(&mut state, needs, false);
         let picked = state.dispatcher.pick(needs, ticket, boot_now());
-        if matches!(picked, Err(Shortage::NotResident | Shortage::NoAdapter)) {
-            self.record_adapter(&mut state, needs, true);
+        if matches!(picked, Err(Shortage::NotResident | Shortage::NoAdapter | Shortage::Limited(_)))
+        {
+            let lacks_adapter = !matches!(picked, Err(Shortage::Limited(_)));
+            self.record_adapter(&mut state, needs, lacks_adapter);
             if let Some(target) = &needs.target {
                 let key = (needs.service.clone(), target.model.clone());
                 *state.unserved.entry(key).or_default() += 1;
             }
             self.shortage.notify_one();
         }
-        if matches!(picked, Err(Shortage::Limited(_))) {
-            // Waiting requests are reported, and so is the demand that another endpoint has to serve.
-            self.shortage.notify_one();
-        }
         picked.and_then(|name| self.occupy(&mut state, name, needs).ok_or(Shortage::NoEndpoint))
     }
 
--- a/crates/entry/src/process/scheduler/limits.rs
+++ b/crates/entry/src/process/scheduler/limits.rs
@@ -6,7 +6,7 @@
 
 use bamboocourse_decide::{
     Availability, EndpointId, EndpointInstance, IssuedPermits, LimitChange, LimitNumber,
-    LimitStatement, ModelRef, NamedLimit, PermitRole, RaiseEvidence, ServiceId, VmId, Want,
+    LimitStatement, ModelRef, NamedLimit, PermitRole, RaiseEvidence, Rate, ServiceId, VmId, Want,
 };
 use log::info;
 
@@ -14,7 +14,25 @@
 use crate::edge::clock::boot_now;
 use crate::wire::{EndpointLimit, LimitRaise, PermitWant, Permits, Status};
 
+/// The limit that an endpoint names, as it concerns the leader's orders.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct OrderLimit {
+    /// The requests per second.
+    pub(crate) rate: Rate,
+    /// Whether one more order may be sent now.
+    pub(crate) has_room: bool,
+}
+
 impl Scheduler {
+    /// Returns the limit of an instance in force for the leader's orders to it.
+    pub(crate) fn order_limit(&self, name: &EndpointId, instance: u64) -> Option<OrderLimit> {
+        let mut state = self.state();
+        let rate = state.dispatcher.limit(name, instance)?;
+        let key = (name.clone(), instance);
+        let has_room = state.dispatcher.limits().has_room_ahead(&key, boot_now());
+        Some(OrderLimit { rate, has_room })
+    }
+
     /// Records what the head of an instance's answer says about the requests that it takes.
     ///
     /// `sent` is when the request was sent, `None` if the answer belongs to another one.
