Operators see which limit refused a request, and who issues permits

A refusal for want of a permit names the endpoints and their limits, 'explain' prints the lines on them, a line says when a relay begins or ends to issue its own part, and 'permits' counts those issued and used. The accounts of single endpoints have a file of their own.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -16,10 +16,13 @@
 
 /// Phrases of lines about endpoints that may not be sent to, and the notes of requests that they
 /// concern.
-const AVAILABILITY_PHRASES: [&str; 2] =
-    ["wants no requests for a time", "leaves by its own answer"];
-const AVAILABILITY_NOTES: [&str; 4] =
-    ["all quiet", "all leave", "endpoint wants quiet", "withheld"];
+const AVAILABILITY_PHRASES: [&str; 3] = [
+    "wants no requests for a time",
+    "leaves by its own answer",
+    "the limit of requests that an endpoint names",
+];
+const AVAILABILITY_NOTES: [&str; 5] =
+    ["all quiet", "all leave", "all limited", "endpoint wants quiet", "withheld"];
 
 /// Phrases of lines about a part of prompts that is held back, and of the crashes behind it.
 const PART_PHRASES: [&str; 4] = [
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -11,12 +11,14 @@
 [2026-01-25T09:30:02.000Z WARN  crashes] a part of prompts is held back part=bad0 ends=3 workspace=all
 [2026-01-25T09:31:00.000Z INFO  scheduler] an endpoint wants no requests for a time endpoint=i-8 id=x1 quiet_ms=60000
 [2026-01-25T09:34:00.000Z INFO  scheduler] an endpoint wants no requests for a time endpoint=i-9 id=x2 quiet_ms=120000
+[2026-01-25T09:34:30.000Z INFO  limits] the limit of requests that an endpoint names has changed endpoint=i-7 born=4 from=x3 former=None rate=0.2
 [2026-01-25T09:35:10.000Z INFO  lead] an order was given endpoint=i-1 command=Load(\"m7\") reply=Lost
 [2026-01-25T09:35:11.000Z INFO  lead] an order was given endpoint=i-2 command=Load(\"m8\") reply=Lost
 [2026-01-25T09:35:11.500Z WARN  lead] this VM no longer holds the fleet's lease fence=1
 [2026-01-25T09:35:12.000Z INFO  trace] a request has ended id=abc kind=no_endpoint model=m7/a1 endpoint=
 [2026-01-25T09:35:13.000Z INFO  trace] a request has ended id=abcd kind=answered model=m7 endpoint=i-1
 [2026-01-25T09:35:14.000Z INFO  trace] a request has ended id=def kind=overloaded endpoint= notes=all quiet
+[2026-01-25T09:35:14.500Z INFO  trace] a request has ended id=lim kind=overloaded endpoint= notes=all limited
 [2026-01-25T09:35:15.000Z INFO  trace] a request has ended id=ghi kind=prompt_held endpoint= detail=3 endpoints have ended under requests with the part bad0 of the prompt, the last one 313 s ago
 ";
 
@@ -49,6 +51,13 @@
     assert!(text.contains("id=abc kind") && !text.contains("id=abcd"), "{text}");
 }
 
+#[test]
+fn explain_prints_the_limit_that_a_refusal_is_due_to() {
+    let text = explain("lim");
+    assert!(text.contains("endpoint=i-7") && text.contains("rate=0.2"), "{text}");
+    assert!(!explain("abc").contains("rate=0.2"));
+}
+
 // The refused request names no endpoint, and the quiet of `i-8` had ended.
 #[test]
 fn explain_prints_the_quiet_that_a_refusal_is_due_to() {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -76,12 +76,11 @@
     EndpointReport, EndpointTracker, LATE_ORDER_TIMEOUT, MAX_REPORT_AGE, OrderCommand, OrderKey,
     OrderReply, ResidentModels,
 };
+pub use process::request_limits::account::{Permit, RelayPart, Want};
 pub use process::request_limits::log::{
     LimitChange, LimitLog, LimitNumber, LimitStatement, NamedLimit, RaiseEvidence, Rate,
 };
-pub use process::request_limits::permits::{
-    IssuedPermits, LimitReport, Permit, PermitRole, RelayPart, RequestLimits, Want,
-};
+pub use process::request_limits::permits::{IssuedPermits, LimitReport, PermitRole, RequestLimits};
 pub use process::roster::{Relay, RelayAppointer, Roster};
 pub use process::shutdown::ShutdownSchedule;
 pub use process::sliding_window::SlidingWindow;
--- a/crates/decide/src/process/request_limits/permits.rs
+++ b/crates/decide/src/process/request_limits/permits.rs
@@ -7,60 +7,22 @@
 
 use std::time::Duration;
 
+use super::account::{
+    Account, MAX_WANTED, Permit, RelayPart, Want, burst, issue_rate, max_open, recent,
+};
 use super::log::{
     LimitChange, LimitLog, LimitNumber, LimitStatement, NamedLimit, RaiseEvidence, Rate,
 };
 use crate::ids::VmId;
 use crate::map::FastMap;
 use crate::request::availability::EndpointInstance;
-
-/// The lowest rate at which permits are issued, per second: only an answer shows that the limit of an
-/// endpoint that takes nothing has ended.
-const MIN_ISSUE_RATE: Rate = 0.1;
-/// The permits that may be issued at once, as the time in which the limit allows as many.
-const BURST_TIME: Duration = Duration::from_millis(250);
-/// The permits that may be issued at once at least, and those that may be issued at a limit of as many a
-/// second or more: wants do not come evenly.
-const MIN_BURST: f64 = 1.0;
-/// See [`MIN_BURST`].
-const SMALL_BURST: f64 = 2.0;
 /// How long a permit of the leader is valid.
 const PERMIT_TERM: Duration = Duration::from_secs(5);
-/// How long a permit is valid that a relay passes on for a request that is there.
-const MEMBER_TERM: Duration = Duration::from_millis(400);
-/// How long after it issued permits to a relay the leader counts those as used that it hears nothing of.
-const OPEN_TERM: Duration = Duration::from_secs(6);
-/// The requests that the limit allows within the term of a permit of a relay without a leader. Over a
-/// longer term, more permits find a request; over a shorter one, fewer are used at the same time.
-const REQUESTS_PER_TERM: f64 = 2.0;
-/// The shortest and the longest term of such a permit.
-const MIN_ALONE_TERM: Duration = Duration::from_millis(500);
-/// See [`MIN_ALONE_TERM`].
-const MAX_ALONE_TERM: Duration = Duration::from_secs(5);
 /// How long after its last report a relay's part is issued by the leader.
 const PRESENT_TERM: Duration = Duration::from_secs(1);
 /// How long after its last report that was replied to a relay issues its part itself. The difference
 /// from [`PRESENT_TERM`] covers the way of the report.
 const ALONE_DELAY: Duration = Duration::from_millis(1_500);
-/// How long a VM's waiting requests count after its report.
-const WAITING_TERM: Duration = Duration::from_millis(1_500);
-/// How long after a relay last wanted a permit for requests that do not wait it may still be issued one.
-const WANT_TERM: Duration = Duration::from_secs(2);
-/// The most permits that one VM asks for at once.
-const MAX_WANTED: u32 = 1_000;
-
-/// A permit to send one request to an instance of an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Permit {
-    until: Duration,
-}
-
-impl Permit {
-    /// Returns whether the permit has not lapsed.
-    pub fn is_valid(self, now: Duration) -> bool {
-        now < self.until
-    }
-}
 
 /// What a VM is for the permits of others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -74,41 +36,6 @@
     #[default]
     Member,
 }
-
-/// The part of one relay in a limit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RelayPart {
-    /// The number of relays.
-    pub relays: u32,
-    /// The relay's rank among them, from 0.
-    pub rank: u32,
-}
-
-impl RelayPart {
-    fn part(self) -> f64 {
-        1.0 / f64::from(self.relays.max(1))
-    }
-
-    /// Returns the bucket that a relay begins with: relays that lose the leader together issue their
-    /// first permits in turn.
-    fn bucket(self, now: Duration) -> Bucket {
-        Bucket { tokens: -f64::from(self.rank) * self.part(), filled: now }
-    }
-}
-
-/// The requests of a VM that want permits for an instance.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Want {
-    /// Requests that wait for a permit.
-    pub waiting: u32,
-    /// Requests that were sent elsewhere for lack of a permit since the last report.
-    pub passed: u32,
-    /// Permits that were used since the last report.
-    pub used: u32,
-    /// Permits that have lapsed unused since the last report.
-    pub returned: u32,
-}
-
 /// What a VM reports on limits.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct LimitReport {
@@ -132,152 +59,6 @@
     /// The number of requests in the fleet that wait for a permit.
     pub backlog: u32,
 }
-
-/// A token bucket that issues permits.
-#[derive(Debug, Clone, Copy)]
-struct Bucket {
-    tokens: f64,
-    filled: Duration,
-}
-
-impl Bucket {
-    fn new(now: Duration) -> Self {
-        // A former issuer may have issued a burst a moment ago.
-        Self { tokens: 0.0, filled: now }
-    }
-
-    fn fill(&mut self, rate: Rate, now: Duration) {
-        let time = now.saturating_sub(self.filled).as_secs_f64();
-        self.tokens = (self.tokens + rate * time).min(burst(rate));
-        self.filled = now;
-    }
-
-    /// Takes up to `count` permits.
-    fn take(&mut self, count: u32, rate: Rate, now: Duration) -> u32 {
-        self.fill(rate, now);
-        let taken = count.min(self.tokens.max(0.0) as u32);
-        self.tokens -= f64::from(taken);
-        taken
-    }
-}
-
-/// What a VM holds for one instance.
-#[derive(Debug, Clone, Default)]
-struct Account {
-    free: Vec<Permit>,
-    /// The permits that were passed on to members, which have not reported them as used or returned.
-    lent: Vec<Permit>,
-    passed: u32,
-    used: u32,
-    returned: u32,
-    backlog: u32,
-    /// The permits that each relay was not issued yet for requests that were sent elsewhere, and when it
-    /// last wanted one.
-    wanted: FastMap<VmId, (u32, Duration)>,
-    /// The permits of each relay that it has not reported as used or returned, and when it got the last.
-    open: FastMap<VmId, (u32, Duration)>,
-    /// The waiting requests of the members, and when they were reported.
-    members: FastMap<VmId, (u32, Duration)>,
-    /// The waiting requests of the relays that report to this leader, and when they were reported.
-    relays: FastMap<VmId, (u32, Duration)>,
-    bucket: Option<Bucket>,
-}
-
-impl Account {
-    /// Counts the permits that have lapsed as returned.
-    fn expire(&mut self, now: Duration) {
-        let before = self.free.len();
-        self.free.retain(|permit| permit.is_valid(now));
-        self.returned += (before - self.free.len()) as u32;
-    }
-
-    /// Settles the permits that a relay has used or returned; returns how many are open at all relays, and
-    /// how many of those that this leader issued it has returned.
-    fn settle_relay(&mut self, vm: &VmId, want: &Want, now: Duration) -> (u32, u32) {
-        self.open.retain(|_, (_, at)| now < *at + OPEN_TERM);
-        let mut returned = 0;
-        if let Some((open, _)) = self.open.get_mut(vm) {
-            *open = open.saturating_sub(want.used);
-            returned = want.returned.min(*open);
-            *open -= returned;
-        }
-        (self.open.values().map(|(open, _)| open).sum(), returned)
-    }
-
-    /// Returns how many permits a relay wants for requests that do not wait, `most` at the most: it will
-    /// have more like those that it sent elsewhere or by a permit.
-    fn want(&mut self, vm: &VmId, want: &Want, most: u32, now: Duration) -> u32 {
-        self.wanted.retain(|_, (_, at)| now < *at + WANT_TERM);
-        let new = want.passed + want.used;
-        if new > 0 {
-            let (count, at) = self.wanted.entry(vm.clone()).or_default();
-            (*count, *at) = ((*count + new).min(most), now);
-        }
-        self.wanted.get(vm).map_or(0, |(count, _)| *count)
-    }
-
-    /// Records that permits were issued to a relay, for its waiting requests first.
-    fn on_issued(&mut self, vm: &VmId, count: u32, waiting: u32, now: Duration) {
-        if count == 0 {
-            return;
-        }
-        let (open, at) = self.open.entry(vm.clone()).or_default();
-        (*open, *at) = (*open + count, now);
-        if let Some((wanted, _)) = self.wanted.get_mut(vm) {
-            *wanted = wanted.saturating_sub(count.saturating_sub(waiting));
-        }
-    }
-
-    /// Passes on permits; returns the least time for which they are valid.
-    fn lend(&mut self, permits: &[Permit], now: Duration) -> Duration {
-        self.lent.extend_from_slice(permits);
-        let until = permits.iter().map(|permit| permit.until).min().unwrap_or(now);
-        until.saturating_sub(now).min(MEMBER_TERM)
-    }
-
-    /// Settles permits that a member has used or returned; returned ones may be passed on again.
-    fn settle(&mut self, want: &Want, now: Duration) {
-        self.lent.sort_by_key(|permit| permit.until);
-        for _ in 0..want.used {
-            self.lent.pop();
-        }
-        self.used += want.used;
-        let returned = self.lent.len().min(want.returned as usize);
-        self.free.extend(self.lent.drain(..returned));
-        self.returned += want.returned - returned as u32;
-        self.expire(now);
-    }
-
-    fn bucket(&mut self, now: Duration) -> &mut Bucket {
-        self.bucket.get_or_insert_with(|| Bucket::new(now))
-    }
-
-    /// Issues the permits that are due to a relay without a leader. They are not kept for later: all
-    /// relays together would have as many.
-    fn issue_alone(&mut self, rate: Rate, part: RelayPart, now: Duration) {
-        let own_rate = rate * part.part();
-        let bucket = self.bucket.get_or_insert_with(|| part.bucket(now));
-        let time = now.saturating_sub(bucket.filled).as_secs_f64();
-        bucket.tokens += own_rate * time;
-        bucket.filled = now;
-        let due = bucket.tokens.max(0.0).floor();
-        let until = now + alone_term(rate);
-        for index in 0..due.min(f64::from(MAX_WANTED)) as u32 {
-            let age = (bucket.tokens - f64::from(index) - 1.0) / own_rate;
-            let age = Duration::try_from_secs_f64(age).unwrap_or(Duration::MAX);
-            let permit = Permit { until: until.saturating_sub(age) };
-            self.free.extend(permit.is_valid(now).then_some(permit));
-        }
-        bucket.tokens -= due;
-    }
-}
-
-/// Returns the sum of what VMs reported recently, and forgets the rest.
-fn recent(reports: &mut FastMap<VmId, (u32, Duration)>, now: Duration) -> u32 {
-    reports.retain(|_, (_, at)| now < *at + WAITING_TERM);
-    reports.values().map(|(count, _)| count).sum()
-}
-
 /// The limits that endpoints name, and this VM's permits.
 #[derive(Debug, Clone, Default)]
 pub struct RequestLimits {
@@ -353,6 +134,11 @@
         has_permits
     }
 
+    /// Returns whether this VM is a relay that hears of no leader and issues its own part.
+    pub fn is_alone(&self) -> bool {
+        self.is_alone
+    }
+
     /// Returns whether no instance is known to have or have had a limit.
     pub fn is_empty(&self) -> bool {
         self.log.is_empty()
@@ -460,7 +246,7 @@
             let account = self.accounts.get(instance);
             waiting = waiting.max(account.map_or(0, |account| account.backlog));
         }
-        Duration::from_secs_f64(f64::from(waiting + 1) / rate.max(MIN_ISSUE_RATE))
+        Duration::from_secs_f64(f64::from(waiting + 1) / issue_rate(rate))
     }
 
     /// Returns this VM's report, with what has changed after the number `told`.
@@ -660,24 +446,3 @@
         account.free.split_off(kept)
     }
 }
-
-/// Returns the rate at which permits are issued for a limit.
-fn issue_rate(rate: Rate) -> Rate {
-    rate.max(MIN_ISSUE_RATE)
-}
-
-/// Returns how many permits may be issued at once.
-fn burst(rate: Rate) -> f64 {
-    (rate * BURST_TIME.as_secs_f64()).max(rate.min(SMALL_BURST)).max(MIN_BURST)
-}
-
-/// Returns how many permits may be open at once: as many more than the limit allows may be used within
-/// one span. Where the limit is low, permits wait longer for a request.
-fn max_open(rate: Rate) -> u32 {
-    (3.0 + rate * 0.25 + rate.min(4.0)) as u32
-}
-
-/// Returns how long a permit of a relay without a leader is valid.
-fn alone_term(rate: Rate) -> Duration {
-    Duration::from_secs_f64(REQUESTS_PER_TERM / rate).clamp(MIN_ALONE_TERM, MAX_ALONE_TERM)
-}
--- a/crates/decide/src/request/dispatch.rs
+++ b/crates/decide/src/request/dispatch.rs
@@ -13,8 +13,9 @@
 
 use crate::ids::{AdapterId, DomainId, EndpointId, ModelId, ServiceId};
 use crate::map::{FastMap, FastSet, hash_of};
+use crate::process::request_limits::account::Permit;
 use crate::process::request_limits::log::{LimitChange, NamedLimit, Rate};
-use crate::process::request_limits::permits::{IssuedPermits, Permit, RequestLimits};
+use crate::process::request_limits::permits::{IssuedPermits, RequestLimits};
 use crate::request::availability::{Availability, AvailabilityLog, EndpointInstance, QuietRequest};
 use crate::request::route::Load;
 
@@ -372,6 +373,18 @@
         permit.is_some()
     }
 
+    /// Returns the endpoints that could run a request but for the limits that they name, and the limits.
+    pub fn limited_for(&self, needs: &Requirements, now: Duration) -> Vec<(EndpointId, Rate)> {
+        let names = self.services.get(&needs.service).into_iter().flatten();
+        let limited = names.filter_map(|name| {
+            let endpoint = self.endpoints.get(name)?;
+            let can_run = endpoint.info.ready && endpoint.shortage(needs, now).is_none();
+            let rate = self.limit(name, endpoint.info.instance)?;
+            can_run.then(|| (name.clone(), rate))
+        });
+        limited.collect()
+    }
+
     /// Returns how many of the waiting requests wait for a permit for each instance.
     pub fn waiting_for_permits(&self, now: Duration) -> FastMap<EndpointInstance, u32> {
         let mut waiting: FastMap<EndpointInstance, u32> = FastMap::default();
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -64,6 +64,7 @@
     quiet: Gauge<u64>,
     limited: Gauge<u64>,
     pub(crate) limited_answers: Counter<u64>,
+    permits: Counter<u64>,
 }
 
 impl Metrics {
@@ -105,6 +106,11 @@
             leaving: gauge(&meter, "leaving", "endpoints known to leave by their answers"),
             quiet: gauge(&meter, "quiet", "endpoints that want nothing from this VM for now"),
             limited: gauge(&meter, "limited", "endpoints with a limit of requests in force"),
+            permits: counter(
+                &meter,
+                "permits",
+                "permits for endpoints with limits, by what became",
+            ),
             limited_answers: counter(
                 &meter,
                 "limited_answers",
@@ -141,6 +147,11 @@
         self.unavailable.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts permits that were `issued` by this leader, or `used` by requests of this VM.
+    pub(crate) fn count_permits(&self, kind: &'static str, count: u32) {
+        self.permits.add(u64::from(count), &[KeyValue::new("kind", kind)]);
+    }
+
     /// Records how many endpoints leave by their answers, want quiet, and name a limit of requests.
     pub(crate) fn record_availability(&self, leaving: usize, quiet: usize, limited: usize) {
         self.limited.record(limited as u64, &[]);
--- a/crates/entry/src/process/scheduler/limits.rs
+++ b/crates/entry/src/process/scheduler/limits.rs
@@ -6,7 +6,8 @@
 
 use bamboocourse_decide::{
     Availability, EndpointId, EndpointInstance, IssuedPermits, LimitChange, LimitNumber,
-    LimitStatement, ModelRef, NamedLimit, PermitRole, RaiseEvidence, Rate, ServiceId, VmId, Want,
+    LimitStatement, ModelRef, NamedLimit, PermitRole, RaiseEvidence, Rate, Requirements, ServiceId,
+    VmId, Want,
 };
 use log::info;
 
@@ -14,6 +15,9 @@
 use crate::edge::clock::boot_now;
 use crate::wire::{EndpointLimit, LimitRaise, PermitWant, Permits, Status};
 
+/// The most limits that a refusal names.
+const MAX_NAMED_LIMITS: usize = 3;
+
 /// The limit that an endpoint names, as it concerns the leader's orders.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct OrderLimit {
@@ -82,6 +86,7 @@
         if slot.permit().take().is_some() {
             let instance = (slot.name.clone(), slot.instance);
             self.state().dispatcher.limits().on_used(&instance);
+            self.metrics.count_permits("used", 1);
         }
     }
 
@@ -94,13 +99,29 @@
             && state.dispatcher.limits().take_ahead(&(name.clone(), instance), now)
     }
 
+    /// Describes the limits of the endpoints that could run a request, for a refusal.
+    pub(crate) fn describe_limits(&self, needs: &Requirements) -> String {
+        let limited = self.state().dispatcher.limited_for(needs, boot_now());
+        let names = limited.iter().take(MAX_NAMED_LIMITS);
+        let names: Vec<String> =
+            names.map(|(name, rate)| format!("{name} {rate} a second")).collect();
+        names.join(", ")
+    }
+
     /// Sets what this VM is for the permits of others.
     pub(crate) fn set_permit_role(&self, role: PermitRole) {
         let now = boot_now();
         let mut state = self.state();
         let limits = state.dispatcher.limits();
+        let was_alone = limits.is_alone();
         limits.set_role(role, now);
         limits.refresh(now);
+        let (is_alone, limited) = (limits.is_alone(), limits.limited().count());
+        drop(state);
+        if was_alone != is_alone && limited > 0 {
+            info!(alone = is_alone, role:?, limited;
+                "whether this VM issues its own part of endpoints' limits has changed");
+        }
     }
 
     /// Returns whether some endpoint has a limit in force.
@@ -158,6 +179,8 @@
         let mut state = self.state();
         let limits = state.dispatcher.limits();
         let issued = limits.issue(&VmId::new(&status.vm), &read_wants(status), boot_now());
+        drop(state);
+        self.metrics.count_permits("issued", issued.iter().map(|permits| permits.count).sum());
         issued.iter().map(permits_message).collect()
     }
 
--- a/crates/entry/src/request/slot.rs
+++ b/crates/entry/src/request/slot.rs
@@ -113,8 +113,8 @@
             _ => DEFAULT_RETRY_AFTER,
         };
         let detail = format!(
-            "the endpoints left take no more than the limits that they name; one may take a request \
-             in {} ms",
+            "the endpoints left take no more than they say ({}); one may take a request in {} ms",
+            self.scheduler.describe_limits(needs),
             wait.as_millis()
         );
         Refusal::not_run(ErrorKind::Overloaded, detail).retry_after(wait)
