--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -45,6 +45,11 @@
 const MAX_OPEN_MESSAGES: usize = 8;
 /// The most asks of one connection that wait for tokens; further ones are refused.
 const MAX_OPEN_ASKS: usize = 1_024;
+/// The most asks of one connection that are read within [`ASK_SLOT`]: ten times those of the busiest
+/// member, so that asks without end leave the processor to requests.
+const MAX_ASKS_PER_SLOT: u32 = 125;
+/// See [`MAX_ASKS_PER_SLOT`].
+const ASK_SLOT: Duration = Duration::from_millis(100);
 /// How long a connected VM may send no whole report before its connection is closed.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(3);
 /// The pause before the next attempt after a connection to the leader failed.
@@ -164,7 +169,12 @@
     let open_messages = Arc::new(Semaphore::new(MAX_OPEN_MESSAGES));
     let open_asks = Arc::new(Semaphore::new(MAX_OPEN_ASKS));
     let mut heard = Instant::now();
+    let mut pace = AskPace::new();
     loop {
+        let reading = async {
+            pace.wait().await;
+            next_message(&mut framed, &open_messages).await
+        };
         // Replies go out before more is read, so that they do not pile up.
         tokio::select! {
             biased;
@@ -180,7 +190,7 @@
                 }
                 None => break,
             },
-            (frame, permit) = next_message(&mut framed, &open_messages) => match frame {
+            (frame, permit) = reading => match frame {
                 Some(Ok(Received { body: Body::Status(status), memory })) => {
                     heard = Instant::now();
                     let open = Some(OpenMessage { _permit: permit, _memory: memory });
@@ -188,6 +198,7 @@
                     let _ = services.events.send(event);
                 }
                 Some(Ok(Received { body: Body::Ask(ask), .. })) => {
+                    pace.on_ask();
                     if let Some(sender) = answers.upgrade() {
                         answer_ask(ask, sender, &open_asks, &services);
                     }
@@ -206,6 +217,33 @@
     let _ = services.events.send(CoordinatorEvent::PeerDisconnected(id));
 }
 
+/// The asks of a connection that were read in the current slot of time.
+struct AskPace {
+    slot: Instant,
+    asks: u32,
+}
+
+impl AskPace {
+    fn new() -> Self {
+        Self { slot: Instant::now(), asks: 0 }
+    }
+
+    /// Counts an ask that was read.
+    fn on_ask(&mut self) {
+        if self.slot.elapsed() >= ASK_SLOT {
+            *self = Self::new();
+        }
+        self.asks += 1;
+    }
+
+    /// Waits until another message may be read; may be cancelled and called again.
+    async fn wait(&self) {
+        if self.asks >= MAX_ASKS_PER_SLOT {
+            tokio::time::sleep_until(self.slot + ASK_SLOT).await;
+        }
+    }
+}
+
 /// Reads the next message once the coordinator has handled enough of the former ones; may be
 /// cancelled and called again.
 async fn next_message(
