--- a/crates/decide/src/request/crash_log.rs
+++ b/crates/decide/src/request/crash_log.rs
@@ -48,6 +48,9 @@
 /// How long a VM holds a part back that the VM it reports to does not know of, although it has been
 /// told the evidence.
 const UNCONFIRMED_TERM: Duration = Duration::from_secs(1);
+/// The time from the last endpoint that ended until one request is tried with a part that was held back
+/// before requests with it could have been answered. This trial is one more than the others.
+const EARLY_TRIAL_DELAY: Duration = Duration::from_millis(1_500);
 /// The time from the last endpoint that ended until one request with the part is tried.
 const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(60);
 /// The factor from one such time to the next.
@@ -163,8 +166,17 @@
 }
 
 impl HeldPart {
+    /// Returns whether the evidence came before requests with the part could have been answered, and
+    /// no request was tried since.
+    fn is_early(&self) -> bool {
+        self.trials == 0 && self.last < self.first + KNOWN_PART_SPAN
+    }
+
     /// Returns when the next request with the part may be tried; `None` if none will be.
     fn next_trial(&self) -> Option<Duration> {
+        if self.is_early() {
+            return Some(self.last + EARLY_TRIAL_DELAY);
+        }
         let delay = FIRST_TRIAL_DELAY * TRIAL_DELAY_FACTOR.pow(self.trials.min(MAX_TRIALS));
         (self.trials < MAX_TRIALS).then_some(self.last + delay)
     }
@@ -209,7 +221,7 @@
                 continue;
             }
             if leads && ends == 0 && hold.held.next_trial().is_some_and(|trial| trial <= now) {
-                hold.held.trials += 1;
+                hold.held.trials += u32::from(!hold.held.is_early());
                 hold.held.last = now;
                 return PromptCheck::Trial;
             }
