--- a/crates/decide/src/process/request_limits/permits.rs
+++ b/crates/decide/src/process/request_limits/permits.rs
@@ -313,12 +313,13 @@
         self.present.insert(vm.clone(), now);
         let part = self.present_part(relays, now);
         let present = self.present.len().max(1) as f64;
+        let wants: FastMap<&EndpointInstance, Want> =
+            wants.iter().map(|(instance, want)| (instance, *want)).collect();
         let mut issued = Vec::new();
         let limited: Vec<_> = self.log.limited().map(|(name, rate)| (name.clone(), rate)).collect();
         for (instance, rate) in limited {
             let rate = issue_rate(rate);
-            let want = wants.iter().find(|(other, _)| *other == instance).map(|(_, want)| *want);
-            let want = want.unwrap_or_default();
+            let want = wants.get(&instance).copied().unwrap_or_default();
             let account = self.accounts.entry(instance.clone()).or_default();
             account.relays.insert(vm.clone(), (want.waiting, now));
             let backlog = recent(&mut account.relays, now);
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -557,7 +557,10 @@
         reply.floor = leadership.token_pools.floor_weight(&status.vm);
         reply.vms = leadership.active_vms(now);
         self.handles.scheduler.on_told_leaving(status);
-        reply.permits = self.handles.scheduler.issue_permits(status);
+        // A leader that was stopped may not know yet that another one issues permits.
+        if self.lease.term().is_some_and(|(_, until)| now < until) {
+            reply.permits = self.handles.scheduler.issue_permits(status);
+        }
         self.handles.crashes.on_report(status);
         self.handles.crashes.tell(&mut reply);
         leadership.placement.on_unreachable(&status.unreached, now);
