--- a/crates/decide/src/process/request_limits/account.rs
+++ b/crates/decide/src/process/request_limits/account.rs
@@ -49,6 +49,7 @@
         now < self.until
     }
 }
+
 /// The part of one relay in a limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RelayPart {
@@ -69,6 +70,7 @@
         Bucket { tokens: -f64::from(self.rank) * self.part(), filled: now }
     }
 }
+
 /// The requests of a VM that want permits for an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Want {
@@ -81,6 +83,7 @@
     /// Permits that have lapsed unused since the last report.
     pub returned: u32,
 }
+
 /// A token bucket that issues permits.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Bucket {
@@ -138,6 +141,8 @@
         let before = self.free.len();
         self.free.retain(|permit| permit.is_valid(now));
         self.returned += (before - self.free.len()) as u32;
+        // A member that has ended reports nothing of its permits.
+        self.lent.retain(|permit| now < permit.until + OPEN_TERM);
     }
 
     /// Settles the permits that a relay has used or returned; returns how many are open at all relays, and
@@ -226,6 +231,7 @@
     reports.retain(|_, (_, at)| now < *at + WAITING_TERM);
     reports.values().map(|(count, _)| count).sum()
 }
+
 /// Returns the rate at which permits are issued for a limit.
 pub(super) fn issue_rate(rate: Rate) -> Rate {
     rate.max(MIN_ISSUE_RATE)
--- a/crates/decide/src/process/request_limits/permits.rs
+++ b/crates/decide/src/process/request_limits/permits.rs
@@ -16,6 +16,7 @@
 use crate::ids::VmId;
 use crate::map::FastMap;
 use crate::request::availability::EndpointInstance;
+
 /// How long a permit of the leader is valid.
 const PERMIT_TERM: Duration = Duration::from_secs(5);
 /// How long after its last report a relay's part is issued by the leader.
@@ -36,6 +37,7 @@
     #[default]
     Member,
 }
+
 /// What a VM reports on limits.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct LimitReport {
@@ -59,6 +61,7 @@
     /// The number of requests in the fleet that wait for a permit.
     pub backlog: u32,
 }
+
 /// The limits that endpoints name, and this VM's permits.
 #[derive(Debug, Clone, Default)]
 pub struct RequestLimits {
