An endpoint that is all that is left gets its limit while requests are refused

The leader's orders and requests for reports could use up a whole limit, by reading; they get a quarter of it now, with a test.

--- a/crates/decide/src/process/request_limits/account.rs
+++ b/crates/decide/src/process/request_limits/account.rs
@@ -76,7 +76,7 @@
 pub struct Want {
     /// Requests that wait for a permit.
     pub waiting: u32,
-    /// Requests that were sent elsewhere for lack of a permit since the last report.
+    /// Requests that were sent elsewhere or refused for lack of a permit since the last report.
     pub passed: u32,
     /// Permits that were used since the last report.
     pub used: u32,
@@ -104,6 +104,12 @@
         self.filled = now;
     }
 
+    /// Returns whether a permit may be issued.
+    pub(super) fn has_one(&mut self, rate: Rate, now: Duration) -> bool {
+        self.fill(rate, now);
+        self.tokens >= 1.0
+    }
+
     /// Takes up to `count` permits.
     pub(super) fn take(&mut self, count: u32, rate: Rate, now: Duration) -> u32 {
         self.fill(rate, now);
@@ -122,7 +128,8 @@
     pub(super) passed: u32,
     pub(super) used: u32,
     pub(super) returned: u32,
-    pub(super) backlog: u32,
+    /// How many requests wait in the fleet, and when this VM was told.
+    pub(super) backlog: (u32, Duration),
     /// The permits that each relay was not issued yet for requests that were sent elsewhere, and when it
     /// last wanted one.
     pub(super) wanted: FastMap<VmId, (u32, Duration)>,
@@ -133,6 +140,8 @@
     /// The waiting requests of the relays that report to this leader, and when they were reported.
     pub(super) relays: FastMap<VmId, (u32, Duration)>,
     pub(super) bucket: Option<Bucket>,
+    /// For the leader's orders and requests for reports.
+    pub(super) own: Option<Bucket>,
 }
 
 impl Account {
@@ -206,6 +215,17 @@
         self.bucket.get_or_insert_with(|| Bucket::new(rate, now))
     }
 
+    /// Returns how many requests wait in the fleet, as far as is known.
+    pub(super) fn backlog(&self, now: Duration) -> u32 {
+        let (count, at) = self.backlog;
+        if now < at + WAITING_TERM { count } else { 0 }
+    }
+
+    /// Returns the bucket for what the leader itself sends, which begins with one permit.
+    pub(super) fn own_bucket(&mut self, now: Duration) -> &mut Bucket {
+        self.own.get_or_insert(Bucket { tokens: 1.0, filled: now })
+    }
+
     /// Issues the permits that are due to a relay without a leader. They are not kept for later: all
     /// relays together would have as many.
     pub(super) fn issue_alone(&mut self, rate: Rate, part: RelayPart, now: Duration) {
--- a/crates/decide/src/process/request_limits/permits.rs
+++ b/crates/decide/src/process/request_limits/permits.rs
@@ -19,6 +19,8 @@
 
 /// How long a permit of the leader is valid.
 const PERMIT_TERM: Duration = Duration::from_secs(5);
+/// The part of a limit that the leader's orders and requests for reports may take.
+const OWN_PART: f64 = 0.25;
 /// How long after its last report a relay's part is issued by the leader.
 const PRESENT_TERM: Duration = Duration::from_secs(1);
 /// How long after its last report that was replied to a relay issues its part itself. The difference
@@ -206,15 +208,13 @@
         account.expire(now);
     }
 
-    /// Returns whether the leader itself may send something to an instance now, ahead of requests. It may
-    /// use up what the next requests would have got.
+    /// Returns whether the leader itself may send something to an instance now, ahead of requests: orders
+    /// and requests for reports have a part of the limit.
     pub fn has_room_ahead(&mut self, instance: &EndpointInstance, now: Duration) -> bool {
         let Some(rate) = self.log.rate(instance) else { return true };
-        let PermitRole::Leader(relays) = self.role else { return false };
-        let rate = issue_rate(rate) * self.present_part(relays, now);
-        let bucket = self.accounts.entry(instance.clone()).or_default().bucket(rate, now);
-        bucket.fill(rate, now);
-        bucket.tokens > -burst(rate)
+        let PermitRole::Leader(_) = self.role else { return false };
+        let account = self.accounts.entry(instance.clone()).or_default();
+        account.own_bucket(now).has_one(issue_rate(rate) * OWN_PART, now)
     }
 
     /// Takes a permit for what the leader itself sends to an instance, ahead of requests; returns
@@ -225,12 +225,14 @@
             && let Some(rate) = self.log.rate(instance)
             && let Some(account) = self.accounts.get_mut(instance)
         {
+            account.own_bucket(now).tokens -= 1.0;
+            // The next requests get less.
             account.bucket(issue_rate(rate), now).tokens -= 1.0;
         }
         is_allowed
     }
 
-    /// Counts a request that was sent elsewhere as an instance's permits are used up.
+    /// Counts a request that was sent elsewhere or refused as an instance's permits are used up.
     pub fn on_passed(&mut self, instance: &EndpointInstance) {
         let account = self.accounts.entry(instance.clone()).or_default();
         account.passed = (account.passed + 1).min(MAX_WANTED);
@@ -242,12 +244,13 @@
         &self,
         instances: impl Iterator<Item = &'a EndpointInstance>,
         ahead: u32,
+        now: Duration,
     ) -> Duration {
         let (mut rate, mut waiting) = (0.0, ahead);
         for instance in instances {
             rate += issue_rate(self.log.rate(instance).unwrap_or_default());
             let account = self.accounts.get(instance);
-            waiting = waiting.max(account.map_or(0, |account| account.backlog));
+            waiting = waiting.max(account.map_or(0, |account| account.backlog(now)));
         }
         Duration::from_secs_f64(f64::from(waiting + 1) / issue_rate(rate))
     }
@@ -367,17 +370,18 @@
         for (instance, account) in &mut self.accounts {
             recent(&mut account.members, now);
             if let Some((count, _)) = account.members.get(vm).filter(|(count, _)| *count > 0) {
-                waiting.push((instance.clone(), *count, account.backlog));
+                waiting.push((instance.clone(), *count));
             }
         }
         let mut passed = Vec::new();
-        for (instance, count, backlog) in waiting {
+        for (instance, count) in waiting {
             let permits = self.draw(&instance, count, now);
             let Some(account) = self.accounts.get_mut(&instance) else { continue };
             if permits.is_empty() {
                 continue;
             }
             let (term, count) = (account.lend(&permits, now), permits.len() as u32);
+            let backlog = account.backlog(now);
             if let Some((left, _)) = account.members.get_mut(vm) {
                 *left = left.saturating_sub(count);
             }
@@ -394,7 +398,7 @@
     ) -> Option<IssuedPermits> {
         let permit = self.take(instance, now)?;
         let account = self.accounts.get_mut(instance)?;
-        let (term, backlog) = (account.lend(&[permit], now), account.backlog);
+        let (term, backlog) = (account.lend(&[permit], now), account.backlog(now));
         Some(IssuedPermits { instance: instance.clone(), count: 1, term, backlog })
     }
 
@@ -408,7 +412,7 @@
     ) -> bool {
         for IssuedPermits { instance, count, term, backlog } in permits {
             let account = self.accounts.entry(instance.clone()).or_default();
-            account.backlog = *backlog;
+            account.backlog = (*backlog, now);
             let permit = Permit { until: asked + *term };
             account.free.extend(std::iter::repeat_n(permit, *count as usize));
             account.expire(now);
--- a/crates/decide/src/request/dispatch.rs
+++ b/crates/decide/src/request/dispatch.rs
@@ -541,7 +541,9 @@
         self.limits.refresh(now);
         let Choice { picked, passed } = self.compare(needs, ticket, now);
         let picked = picked.cloned();
-        if let Some(name) = passed.filter(|_| !matches!(picked, Err(Shortage::Limited(_)))) {
+        // Also if it is refused: without wants, no permit would be issued, and no answer would show that
+        // the limit has ended.
+        if let Some(name) = passed {
             let instance = self.instance_key(name);
             self.limits.on_passed(&instance);
         }
@@ -630,7 +632,7 @@
         let passed = limited.iter().copied().min_by(|(a, _), (b, _)| a.total_cmp(b));
         let passed = passed.filter(|(score, _)| best.is_none_or(|(lowest, _)| *score < lowest));
         if !limited.is_empty() {
-            let until = now + self.permit_wait(needs, &limited);
+            let until = now + self.permit_wait(needs, &limited, now);
             shortage = shortage.more_specific(Shortage::Limited(until));
         }
         // If all endpoints are paused, the one whose pause ends first is tried rather than none.
@@ -639,12 +641,17 @@
     }
 
     /// Estimates how long a request waits for a permit of one of some endpoints.
-    fn permit_wait(&self, needs: &Requirements, limited: &[(f64, &EndpointId)]) -> Duration {
+    fn permit_wait(
+        &self,
+        needs: &Requirements,
+        limited: &[(f64, &EndpointId)],
+        now: Duration,
+    ) -> Duration {
         let instances: Vec<_> = limited.iter().map(|(_, name)| self.instance_key(name)).collect();
         let same =
             |other: &&Requirements| other.service == needs.service && other.target == needs.target;
         let ahead = self.waiting.values().filter(same).count() as u32;
-        self.limits.waiting_time(instances.iter(), ahead)
+        self.limits.waiting_time(instances.iter(), ahead, now)
     }
 
     /// Ends a request that was counted at an endpoint.
--- a/crates/decide/tests/limit_fleet.rs
+++ b/crates/decide/tests/limit_fleet.rs
@@ -8,7 +8,7 @@
 
 use bamboocourse_decide::{
     EndpointInstance, FastMap, IssuedPermits, LimitNumber, LimitReport, LimitStatement, NamedLimit,
-    Permit, PermitRole, RelayPart, RequestLimits, VmId,
+    Permit, PermitRole, RelayPart, RequestLimits, VmId, Want,
 };
 use proptest::prelude::*;
 use rand::rngs::StdRng;
@@ -667,3 +667,26 @@
         prop_assert!(most as f64 <= allowed, "{most} in 4 s, {allowed} allowed");
     }
 }
+
+// A leader that asks an endpoint for its report again and again leaves most of the limit to requests.
+#[test]
+fn orders_of_the_leader_do_not_use_up_a_limit() {
+    let (leader, vm) = (PermitRole::Leader(1), name(0));
+    let mut limits = RequestLimits::default();
+    limits.set_role(leader, Duration::ZERO);
+    let named = Some(NamedLimit::PerSecond(2.0));
+    limits.on_answer(&endpoint(), named, Duration::ZERO, Duration::ZERO);
+    let (mut own, mut issued) = (0, 0);
+    for step in 1..=400 {
+        let now = Duration::from_millis(step * 50);
+        own += u32::from(limits.take_ahead(&endpoint(), now));
+        let used = Want { passed: 1, ..Want::default() };
+        for permits in limits.issue(&vm, &[(endpoint(), used)], now) {
+            issued += permits.count;
+            let used = Want { used: permits.count, ..Want::default() };
+            limits.issue(&vm, &[(endpoint(), used)], now);
+        }
+    }
+    assert!((8..=12).contains(&own), "{own} orders in 20 s");
+    assert!((24..=32).contains(&issued), "{issued} requests in 20 s beside {own} orders");
+}
