Bodies of unknown length are kept in blocks instead of a buffer that doubles

Cause: the budget for large messages counts bytes, but a buffer that grows by doubling has up to twice its bytes, and three times while it is copied. The budget of 8 MB allowed for 24 MB, and freed buffers of all sizes are not reused.

Change: bytes are appended to blocks of 64 KB, joined once a body is complete.

--- /dev/null
+++ b/crates/entry/src/edge/blocks.rs
@@ -0,0 +1,49 @@
+//! The bytes of a message whose length is not known in advance.
+
+use bytes::{Bytes, BytesMut};
+
+/// The size of a block, in bytes.
+const BLOCK_BYTES: usize = 64 << 10;
+
+/// Bytes that are appended to; they are kept in blocks, since one buffer that grows by doubling
+/// takes up to three times its bytes while it is copied.
+#[derive(Debug, Default)]
+pub(crate) struct Blocks {
+    full: Vec<Bytes>,
+    last: BytesMut,
+    length: usize,
+}
+
+impl Blocks {
+    /// The number of bytes.
+    pub(crate) fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Appends bytes.
+    pub(crate) fn extend(&mut self, mut data: &[u8]) {
+        self.length += data.len();
+        while !data.is_empty() {
+            if self.last.len() == BLOCK_BYTES {
+                let next = BytesMut::with_capacity(BLOCK_BYTES);
+                self.full.push(std::mem::replace(&mut self.last, next).freeze());
+            }
+            let (fitting, rest) = data.split_at(data.len().min(BLOCK_BYTES - self.last.len()));
+            self.last.extend_from_slice(fitting);
+            data = rest;
+        }
+    }
+
+    /// Returns all bytes in one buffer.
+    pub(crate) fn freeze(self) -> Bytes {
+        if self.full.is_empty() {
+            return self.last.freeze();
+        }
+        let mut joined = BytesMut::with_capacity(self.length);
+        for block in self.full {
+            joined.extend_from_slice(&block);
+        }
+        joined.extend_from_slice(&self.last);
+        joined.freeze()
+    }
+}
--- a/crates/entry/src/edge/budget.rs
+++ b/crates/entry/src/edge/budget.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// The memory for all large messages, in bytes: a twentieth of the smallest VM's memory, as buffers
-/// grow by doubling.
+/// of frames grow by doubling.
 const TOTAL_BYTES: usize = 8 << 20;
 /// The part of each message that the budget does not count, in bytes: usual messages are smaller,
 /// and the number of connections bounds their sum.
--- a/crates/entry/src/edge/mod.rs
+++ b/crates/entry/src/edge/mod.rs
@@ -1,5 +1,6 @@
 //! The interfaces to a platform: the formats that it translates and the store that it provides.
 
+pub(crate) mod blocks;
 pub(crate) mod budget;
 pub(crate) mod clock;
 pub(crate) mod pool;
--- a/crates/entry/src/edge/pool.rs
+++ b/crates/entry/src/edge/pool.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bamboocourse_decide::FastMap;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -17,6 +17,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::time::Instant;
 
+use crate::edge::blocks::Blocks;
 use crate::edge::budget::ByteBudget;
 use crate::edge::socket::{self, FirstByte};
 
@@ -96,7 +97,7 @@
             return Err(ReadError::TooLarge);
         }
         let mut reserved = self.pool.budget.reserve();
-        let mut bytes = BytesMut::new();
+        let mut bytes = Blocks::default();
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { return Err(ReadError::Broken) };
             let Some(data) = frame.data_ref() else { continue };
@@ -104,7 +105,7 @@
             if length > limit || !reserved.cover(length) {
                 return Err(ReadError::TooLarge);
             }
-            bytes.extend_from_slice(data);
+            bytes.extend(data);
         }
         Ok(bytes.freeze())
     }
