Evidence against a part stands out from ends under other requests; weak evidence is tried soon

Three ends say little where ends are frequent.

Change: three ends suffice only if at most one for each three was under other requests, else five under three requests are needed, as for a part that was sound before. Where the evidence is weak, by such ends or because all came within a second, trials follow after 1.5, 5 and 10 s.

part_that_was_held_back_before_requests_with_it_could_be_answered_is_tried_soon expects the new times, and that nothing else is tried up to 5,000 s.

--- a/crates/decide/src/request/crash_log.rs
+++ b/crates/decide/src/request/crash_log.rs
@@ -10,7 +10,8 @@
 //! - An endpoint whose end is explained by a part that is held back already, or that more endpoints
 //!   ended under, does not count against the other parts of the same requests.
 //! - A request with the part that some endpoint went on answering clears all earlier evidence. A part
-//!   that was answered some time ago needs more evidence than one that never was.
+//!   that was answered some time ago needs more evidence than one that never was. So does any part
+//!   while endpoints also end under other requests: a rare part may have been there by chance.
 //! - A part is held back only for the workspace whose requests ended all these endpoints, until a
 //!   request of another one has ended one, too.
 //!
@@ -28,16 +29,20 @@
 /// How long after its first event a stream counts as answered: an endpoint that crashes on a request
 /// does so when it begins to answer.
 pub const SOUND_STREAM_TIME: Duration = Duration::from_millis(300);
-/// The endpoints that must have ended under a part that no request was ever answered with.
+/// The endpoints that must have ended under a part that no request was ever answered with, if few
+/// ended under other requests.
 const UNKNOWN_PART_ENDS: usize = 3;
+/// How many endpoints must have ended under such a part for each one that ended under others.
+const MIN_ENDS_RATIO: usize = 3;
 /// The requests with such a part that they must have ended under.
 const UNKNOWN_PART_REQUESTS: usize = 2;
-/// The endpoints that must have ended under a part that requests were answered with before.
+/// The endpoints that must have ended under any other part.
 const KNOWN_PART_ENDS: usize = 5;
 /// The requests with such a part that they must have ended under.
 const KNOWN_PART_REQUESTS: usize = 3;
-/// The least time over which they must have ended, so that the loss of many endpoints at the same
-/// moment is no evidence; requests with a part in use are answered within this time.
+/// The least time over which they must have ended under a part that requests were answered with
+/// before, so that the loss of many endpoints at the same moment is no evidence; requests with a part
+/// in use are answered within this time.
 const KNOWN_PART_SPAN: Duration = Duration::from_secs(1);
 /// How long it is remembered that a request with a part was answered.
 const SOUND_MEMORY: Duration = Duration::from_secs(600);
@@ -48,15 +53,21 @@
 /// How long a VM holds a part back that the VM it reports to does not know of, although it has been
 /// told the evidence.
 const UNCONFIRMED_TERM: Duration = Duration::from_secs(1);
-/// The time from the last endpoint that ended until one request is tried with a part that was held back
-/// before requests with it could have been answered. This trial is one more than the others.
-const EARLY_TRIAL_DELAY: Duration = Duration::from_millis(1_500);
-/// The time from the last endpoint that ended until one request with the part is tried.
-const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(60);
-/// The factor from one such time to the next.
-const TRIAL_DELAY_FACTOR: u32 = 5;
-/// The most requests that are tried with a part that is held back.
-const MAX_TRIALS: u32 = 3;
+/// The times until one request after the other is tried with a part that is held back: from the last
+/// endpoint that ended to the first trial, and from each trial to the next.
+const TRIAL_DELAYS: &[Duration] =
+    &[Duration::from_secs(60), Duration::from_secs(300), Duration::from_secs(1_500)];
+/// The same for a part that may be held back by chance.
+const WEAK_TRIAL_DELAYS: &[Duration] = &[
+    Duration::from_millis(1_500),
+    Duration::from_secs(5),
+    Duration::from_secs(10),
+    Duration::from_secs(300),
+    Duration::from_secs(1_500),
+];
+/// The most endpoints that end under a part, after which no further request is tried: three more than
+/// those that suffice to hold any part back.
+const MAX_PART_ENDS: u32 = 8;
 /// How long a part is held back after the last endpoint that ended or request that was tried.
 const HOLD_TERM: Duration = Duration::from_secs(24 * 3_600);
 /// The most endpoints whose end is remembered.
@@ -109,10 +120,13 @@
     pub first: Duration,
     /// See `first`.
     pub last: Duration,
-    /// The number of these endpoints.
+    /// The number of endpoints that ended under requests with the part, also since.
     pub ends: u32,
     /// The number of requests that were tried since.
     pub trials: u32,
+    /// Whether the part may have been there by chance: the endpoints ended before requests with it
+    /// could have been answered, or others ended under other requests.
+    pub weak: bool,
 }
 
 /// Whether a request may be sent to endpoints.
@@ -166,19 +180,11 @@
 }
 
 impl HeldPart {
-    /// Returns whether the evidence came before requests with the part could have been answered, and
-    /// no request was tried since.
-    fn is_early(&self) -> bool {
-        self.trials == 0 && self.last < self.first + KNOWN_PART_SPAN
-    }
-
     /// Returns when the next request with the part may be tried; `None` if none will be.
     fn next_trial(&self) -> Option<Duration> {
-        if self.is_early() {
-            return Some(self.last + EARLY_TRIAL_DELAY);
-        }
-        let delay = FIRST_TRIAL_DELAY * TRIAL_DELAY_FACTOR.pow(self.trials.min(MAX_TRIALS));
-        (self.trials < MAX_TRIALS).then_some(self.last + delay)
+        let delays = if self.weak { WEAK_TRIAL_DELAYS } else { TRIAL_DELAYS };
+        let delay = delays.get(self.trials as usize).filter(|_| self.ends < MAX_PART_ENDS);
+        delay.map(|delay| self.last + *delay)
     }
 }
 
@@ -190,6 +196,8 @@
     workspaces: FastSet<&'a WorkspaceId>,
     first: Duration,
     last: Duration,
+    /// The endpoints that ended under other requests.
+    others: usize,
     /// The place of the part in the prompts, from the front.
     place: usize,
     /// When a request with the part last began to be answered.
@@ -221,7 +229,7 @@
                 continue;
             }
             if leads && ends == 0 && hold.held.next_trial().is_some_and(|trial| trial <= now) {
-                hold.held.trials += u32::from(!hold.held.is_early());
+                hold.held.trials += 1;
                 hold.held.last = now;
                 return PromptCheck::Trial;
             }
@@ -420,6 +428,7 @@
             known.held.last = known.held.last.max(held.last);
             known.held.ends = known.held.ends.max(held.ends);
             known.held.trials = known.held.trials.max(held.trials);
+            known.held.weak &= held.weak;
             if known.held.workspace.is_some() && known.held.workspace != held.workspace {
                 known.held.workspace = None;
                 self.changes.push(PartChange::Held(known.held.clone()));
@@ -483,6 +492,23 @@
         while let Some(held) = self.find_part(now) {
             self.hold(held, false, now);
         }
+        let held: Vec<PartId> = self.held.keys().cloned().collect();
+        for part in held {
+            let ends = self.part_ends(&part, now);
+            if let Some(hold) = self.held.get_mut(&part) {
+                hold.held.ends = hold.held.ends.max(ends);
+            }
+        }
+    }
+
+    /// Returns how many endpoints ended under a part since a request with it was last answered.
+    fn part_ends(&self, part: &PartId, now: Duration) -> u32 {
+        let sound_at = self.sound_at(part);
+        let ends = self.recent_ends(now).filter(|end| {
+            sound_at.is_none_or(|at| at < end.at)
+                && end.suspects.iter().any(|suspect| suspect.parts.contains(part))
+        });
+        ends.count() as u32
     }
 
     /// Returns the parts of a prompt that are held back.
@@ -537,12 +563,14 @@
     /// Gathers what speaks against each part.
     fn gather(&self, now: Duration) -> FastMap<&PartId, Evidence<'_>> {
         let mut evidence: FastMap<&PartId, Evidence<'_>> = FastMap::default();
+        let mut unexplained = 0;
         for end in self.recent_ends(now) {
             let is_explained =
                 end.suspects.iter().any(|suspect| self.held_of(suspect).next().is_some());
             if is_explained {
                 continue;
             }
+            unexplained += 1;
             let mut counted: FastSet<&PartId> = FastSet::default();
             for suspect in &end.suspects {
                 for (place, part) in suspect.parts.iter().enumerate() {
@@ -563,6 +591,9 @@
                 }
             }
         }
+        for known in evidence.values_mut() {
+            known.others = unexplained - known.ends;
+        }
         evidence
     }
 }
@@ -571,12 +602,17 @@
     /// Returns whether the evidence suffices to hold the part back.
     fn is_enough(&self) -> bool {
         let requests = self.requests.len();
-        if self.sound_at.is_none() {
-            return self.ends >= UNKNOWN_PART_ENDS && requests >= UNKNOWN_PART_REQUESTS;
+        let is_strong = self.ends >= KNOWN_PART_ENDS && requests >= KNOWN_PART_REQUESTS;
+        if self.sound_at.is_some() {
+            return is_strong && self.last >= self.first + KNOWN_PART_SPAN;
         }
-        self.ends >= KNOWN_PART_ENDS
-            && requests >= KNOWN_PART_REQUESTS
-            && self.last >= self.first + KNOWN_PART_SPAN
+        let is_enough = self.ends >= UNKNOWN_PART_ENDS && requests >= UNKNOWN_PART_REQUESTS;
+        is_strong || (self.stands_out() && is_enough)
+    }
+
+    /// Returns whether few endpoints ended under other requests.
+    fn stands_out(&self) -> bool {
+        self.ends >= self.others * MIN_ENDS_RATIO
     }
 
     fn held_part(&self, part: &PartId) -> HeldPart {
@@ -591,6 +627,7 @@
             last: self.last,
             ends: self.ends as u32,
             trials: 0,
+            weak: self.last < self.first + KNOWN_PART_SPAN || !self.stands_out(),
         }
     }
 }
--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -123,6 +123,33 @@
     assert_eq!(held(&log), [BAD]);
 }
 
+// Endpoints end by themselves, and three of them happened to have requests with a rare part.
+#[test]
+fn rare_part_at_three_of_many_ends_is_not_held_back() {
+    let mut log = CrashLog::default();
+    for number in 0..3u64 {
+        let at = number as f64 / 10.0;
+        add(&mut log, number as usize, at, &[prompt(number, &[&format!("other{number}")])]);
+        add(&mut log, 10 + number as usize, at + 0.05, &[prompt(10 + number, &["rare"])]);
+    }
+    assert!(held(&log).is_empty());
+    for number in 3..5u64 {
+        add(&mut log, 10 + number as usize, 0.5, &[prompt(10 + number, &["rare"])]);
+    }
+    assert_eq!(held(&log), ["rare"]);
+}
+
+/// Checks at which of these times, in seconds, a request with a part is tried.
+fn check_trials(log: &mut CrashLog, part: &str, held: &[f64], tried: &[f64]) {
+    let mut times: Vec<(f64, bool)> = held.iter().map(|at| (*at, false)).collect();
+    times.extend(tried.iter().map(|at| (*at, true)));
+    times.sort_by(|a, b| a.0.total_cmp(&b.0));
+    for (number, (at, is_tried)) in times.into_iter().enumerate() {
+        let check = log.check(&prompt(100 + number as u64, &[part]), seconds(at));
+        assert_eq!(check == PromptCheck::Trial, is_tried, "at {at} s: {check:?}");
+    }
+}
+
 // Right after the start, none of the requests with it was answered yet, and none is under way.
 #[test]
 fn part_that_was_held_back_before_requests_with_it_could_be_answered_is_tried_soon() {
@@ -132,12 +159,52 @@
         add(&mut log, number as usize, number as f64 / 10.0, &[prompt(number, &["rare"])]);
     }
     assert_eq!(held(&log), ["rare"]);
-    assert!(matches!(log.check(&prompt(8, &["rare"]), seconds(1.6)), PromptCheck::Held(_)));
-    assert_eq!(log.check(&prompt(9, &["rare"]), seconds(1.8)), PromptCheck::Trial);
-    for at in [1.9, 10.0, 61.0] {
-        assert!(matches!(log.check(&prompt(10, &["rare"]), seconds(at)), PromptCheck::Held(_)));
+    let held = [1.6, 1.9, 6.7, 6.9, 16.7, 61.0, 316.0, 318.0, 1_816.0, 5_000.0];
+    check_trials(&mut log, "rare", &held, &[1.8, 6.8, 16.9, 317.0, 1_817.0]);
+}
+
+// Each trial ends an endpoint.
+#[test]
+fn part_that_was_held_back_early_ends_no_more_than_eight_endpoints() {
+    let mut log = CrashLog::default();
+    log.set_leads(true);
+    let mut ends = 0;
+    for step in 0..200_000u64 {
+        let (request, at) = (prompt(step, &[BAD]), step as f64 / 20.0);
+        if !matches!(log.check(&request, seconds(at)), PromptCheck::Open | PromptCheck::Trial) {
+            continue;
+        }
+        add(&mut log, step as usize, at, &[request]);
+        ends += 1;
+    }
+    assert_eq!(ends, 8);
+}
+
+// The part was sound before, and so it may be after all.
+#[test]
+fn part_that_was_held_back_while_many_endpoints_end_is_tried_soon() {
+    let mut log = CrashLog::default();
+    log.set_leads(true);
+    log.on_sound(&"w".into(), &["rare".into()], seconds(0.0), seconds(0.0));
+    for number in 0..5u64 {
+        let at = 1.0 + number as f64 / 2.0;
+        add(&mut log, number as usize, at, &[prompt(number, &["rare"])]);
+        add(&mut log, 10 + number as usize, at, &[prompt(10 + number, &["other"])]);
+        log.on_sound(&"w".into(), &["other".into()], seconds(at), seconds(at));
+    }
+    assert_eq!(held(&log), ["rare"]);
+    check_trials(&mut log, "rare", &[4.4, 4.6, 9.4], &[4.5, 9.6]);
+}
+
+// Requests were under way to further endpoints when the part was held back.
+#[test]
+fn no_request_is_tried_once_eight_endpoints_have_ended_under_a_part() {
+    let mut log = CrashLog::default();
+    log.set_leads(true);
+    for number in 0..8 {
+        add(&mut log, number as usize, number as f64 / 10.0, &[prompt(number, &[BAD])]);
     }
-    assert_eq!(log.check(&prompt(11, &["rare"]), seconds(62.0)), PromptCheck::Trial);
+    check_trials(&mut log, BAD, &[3.0, 70.0, 5_000.0], &[]);
 }
 
 #[test]
@@ -264,6 +331,7 @@
         last: seconds(3.0),
         ends: 3,
         trials: 1,
+        weak: false,
     };
     relay.on_told(vec![told], seconds(3.5));
     let now = seconds(3.0) + EVIDENCE_TERM * 2;
--- a/crates/entry/src/process/coordinator/row.rs
+++ b/crates/entry/src/process/coordinator/row.rs
@@ -52,10 +52,13 @@
     pub first: u64,
     /// See `first`.
     pub last: u64,
-    /// The number of these endpoints.
+    /// The number of endpoints that ended under requests with the part.
     pub ends: u32,
     /// The number of requests that were tried since.
     pub trials: u32,
+    /// Whether the part may have been there by chance when the endpoints ended.
+    #[serde(default)]
+    pub weak: bool,
 }
 
 /// The row's JSON form: VMs are numbered, so that each name is stored only once.
--- a/crates/entry/src/process/crashes.rs
+++ b/crates/entry/src/process/crashes.rs
@@ -143,6 +143,7 @@
             workspace: held.workspace,
             ends: held.ends,
             trials: held.trials,
+            weak: held.weak,
         });
         rows.collect()
     }
@@ -162,6 +163,7 @@
                     last: to_local(row.last),
                     ends: row.ends,
                     trials: row.trials,
+                    weak: row.weak,
                 };
                 log.adopt(held, now);
             }
@@ -191,6 +193,7 @@
                 }
                 PartChange::Held(held) => {
                     warn!(part = held.part.as_str(), ends = held.ends, trials = held.trials,
+                        weak = held.weak,
                         workspace = held.workspace.as_deref().unwrap_or("all"),
                         first_ms = now.saturating_sub(held.first).as_millis() as u64,
                         last_ms = now.saturating_sub(held.last).as_millis() as u64;
@@ -241,6 +244,7 @@
         last_age: age(held.last, now),
         ends: held.ends,
         trials: held.trials,
+        weak: held.weak,
     });
     held.collect()
 }
@@ -254,6 +258,7 @@
         last: time_of(message.last_age, now),
         ends: message.ends,
         trials: message.trials,
+        weak: message.weak,
     }
 }
 
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -271,6 +271,9 @@
     /// The number of requests that were tried with it since.
     #[prost(uint32, tag = "6")]
     pub trials: u32,
+    /// Whether the part may have been there by chance when the endpoints ended.
+    #[prost(bool, tag = "7")]
+    pub weak: bool,
 }
 /// A process instance of an endpoint that leaves.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/entry/tests/row.rs
+++ b/crates/entry/tests/row.rs
@@ -53,6 +53,7 @@
                 last: 123_456_789,
                 ends: 5,
                 trials: 1,
+                weak: true,
             })
             .collect(),
     }
