A held part is tried with the first request in the fleet, not with the leader's callers alone

Cause, by reading and now by simulation: only the leader gave trials, and only to requests of its own callers; of a request a minute with the part it gets one in five hours.

Change: a VM that has such a request when a trial is due asks with its next report, relays ask the leader, and the first that asked may try one request. That request waits for up to 0.6 s for the answer; others with the part are refused at once. A leader allows trials only within its lease.

One at a time holds with requests at all VMs in the same moment.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -92,7 +92,7 @@
 };
 pub use request::crash_log::{
     CrashLog, EVIDENCE_TERM, EndpointEnd, HeldPart, PartChange, Prompt, PromptCheck,
-    SOUND_STREAM_TIME,
+    SOUND_STREAM_TIME, TRIAL_TERM,
 };
 pub use request::dispatch::{
     Dispatcher, EndpointInfo, ModelRef, QueueTicket, Requirements, SendOutcome, Shortage,
--- a/crates/decide/src/request/crash_log.rs
+++ b/crates/decide/src/request/crash_log.rs
@@ -17,10 +17,13 @@
 //!
 //! The leader tells the other VMs which parts are held back. A VM that it does not reach decides by
 //! what it has seen itself.
+//!
+//! After some time, one request is tried with a part, wherever it comes: a VM that has such a request
+//! asks for the trial with its next report, and the leader allows it to the first that asks.
 
 use std::time::Duration;
 
-use crate::ids::{PartId, WorkspaceId};
+use crate::ids::{PartId, VmId, WorkspaceId};
 use crate::map::{FastMap, FastSet};
 use crate::request::availability::EndpointInstance;
 
@@ -72,6 +75,12 @@
 const HOLD_TERM: Duration = Duration::from_secs(24 * 3_600);
 /// The most endpoints whose end is remembered.
 const MAX_ENDS: usize = 64;
+/// How long a request waits for the leader's word whether it is tried, and how long that holds.
+pub const TRIAL_TERM: Duration = Duration::from_millis(600);
+/// How long a VM asks for no further trial with a part after it asked for one in vain.
+const TRIAL_ASK_INTERVAL: Duration = Duration::from_secs(3);
+/// The most asks for trials that a relay keeps for its members.
+const MAX_TRIAL_ASKS: usize = 256;
 /// The most suspects of one endpoint's end that are remembered.
 const MAX_SUSPECTS: usize = 64;
 /// The most of them that are remembered of one workspace.
@@ -166,10 +175,30 @@
     sound_pruned: Duration,
     held: FastMap<PartId, Hold>,
     suspected: FastMap<PartId, usize>,
+    /// The trials that this VM and those that report to it have asked for, oldest first.
+    asks: Vec<TrialAsk>,
+    /// Until when this VM may try one request with a part.
+    allowed: FastMap<PartId, Duration>,
     changes: Vec<PartChange>,
     leads: bool,
 }
 
+/// Who asked when for a trial with a part.
+#[derive(Debug)]
+struct TrialAsk {
+    part: PartId,
+    asker: TrialAsker,
+    at: Duration,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+enum TrialAsker {
+    /// A request of this VM's callers.
+    Request(u64),
+    /// A VM that reports to this one.
+    Member(VmId),
+}
+
 #[derive(Debug, Clone)]
 struct Hold {
     held: HeldPart,
@@ -186,6 +215,11 @@
         let delay = delays.get(self.trials as usize).filter(|_| self.ends < MAX_PART_ENDS);
         delay.map(|delay| self.last + *delay)
     }
+
+    /// Returns whether a request with the part may be tried.
+    fn may_try(&self, now: Duration) -> bool {
+        self.next_trial().is_some_and(|trial| trial <= now)
+    }
 }
 
 /// What counts against one part.
@@ -222,22 +256,93 @@
         if self.held.is_empty() {
             return PromptCheck::Open;
         }
-        let leads = self.leads;
         for part in &request.parts {
-            let Some(hold) = self.held.get_mut(part) else { continue };
+            let Some(hold) = self.held.get(part) else { continue };
             if hold.held.workspace.as_ref().is_some_and(|only| *only != request.workspace) {
                 continue;
             }
-            if leads && ends == 0 && hold.held.next_trial().is_some_and(|trial| trial <= now) {
-                hold.held.trials += 1;
-                hold.held.last = now;
+            let held = hold.held.clone();
+            let is_allowed =
+                |log: &mut Self| log.allowed.remove(part).is_some_and(|until| now < until);
+            if ends == 0 && (self.take_trial(part, now) || is_allowed(self)) {
                 return PromptCheck::Trial;
             }
-            return PromptCheck::Held(hold.held.clone());
+            return PromptCheck::Held(held);
         }
         PromptCheck::Open
     }
 
+    /// Takes the next trial with a part, if this VM leads and it is due.
+    fn take_trial(&mut self, part: &PartId, now: Duration) -> bool {
+        let due = self.held.get_mut(part).filter(|hold| self.leads && hold.held.may_try(now));
+        let Some(hold) = due else { return false };
+        hold.held.trials += 1;
+        hold.held.last = now;
+        true
+    }
+
+    /// Asks for a trial with a part for a new request that is held back because of it; returns whether
+    /// the request waits for it, for at most [`TRIAL_TERM`]. One request of a VM does at a time.
+    pub fn ask_trial(&mut self, part: &PartId, request: u64, now: Duration) -> bool {
+        let is_due = self.held.get(part).is_some_and(|hold| hold.held.may_try(now));
+        if self.leads || !is_due || self.request_ends(request) > 0 {
+            return false;
+        }
+        self.drop_old_asks(now);
+        let own = self
+            .asks
+            .iter()
+            .find(|ask| ask.part == *part && matches!(ask.asker, TrialAsker::Request(_)));
+        if let Some(own) = own {
+            return own.asker == TrialAsker::Request(request) && now < own.at + TRIAL_TERM;
+        }
+        let asker = TrialAsker::Request(request);
+        self.asks.push(TrialAsk { part: part.clone(), asker, at: now });
+        true
+    }
+
+    fn drop_old_asks(&mut self, now: Duration) {
+        self.asks.retain(|ask| match ask.asker {
+            TrialAsker::Request(_) => now < ask.at + TRIAL_ASK_INTERVAL,
+            TrialAsker::Member(_) => now < ask.at + TRIAL_TERM,
+        });
+    }
+
+    /// Returns the parts for which this VM and those that report to it wait for a trial.
+    pub fn asked_trials(&self, now: Duration) -> Vec<PartId> {
+        let open = self.asks.iter().filter(|ask| now < ask.at + TRIAL_TERM);
+        let parts: FastSet<&PartId> = open.map(|ask| &ask.part).collect();
+        parts.into_iter().cloned().collect()
+    }
+
+    /// Takes in that a VM that reports to this one asks for a trial; returns whether it may try one
+    /// request, which only the leader allows.
+    pub fn on_trial_ask(&mut self, part: &PartId, vm: &VmId, now: Duration) -> bool {
+        if self.leads {
+            return self.take_trial(part, now);
+        }
+        self.drop_old_asks(now);
+        let asker = TrialAsker::Member(vm.clone());
+        let is_known = self.asks.iter().any(|ask| ask.part == *part && ask.asker == asker);
+        if !is_known && self.held.contains_key(part) && self.asks.len() < MAX_TRIAL_ASKS {
+            self.asks.push(TrialAsk { part: part.clone(), asker, at: now });
+        }
+        false
+    }
+
+    /// Takes in that this VM, or one that reports to it, may try one request with a part; returns
+    /// the VM to pass this on to. The one that asked first gets it.
+    pub fn on_trial_allowed(&mut self, part: &PartId, now: Duration) -> Option<VmId> {
+        self.drop_old_asks(now);
+        let index = self.asks.iter().position(|ask| ask.part == *part && now < ask.at + TRIAL_TERM);
+        let asker = index.map(|index| self.asks.remove(index).asker);
+        if let Some(TrialAsker::Member(vm)) = asker {
+            return Some(vm);
+        }
+        self.allowed.insert(part.clone(), now + TRIAL_TERM);
+        None
+    }
+
     /// Returns how many endpoints ended while they had this request and had not answered it.
     pub fn request_ends(&self, request: u64) -> usize {
         let is_suspect =
@@ -350,6 +455,11 @@
         }
     }
 
+    /// Returns whether this VM leads.
+    pub fn leads(&self) -> bool {
+        self.leads
+    }
+
     /// Sets whether this VM leads, and so decides about trials.
     pub fn set_leads(&mut self, leads: bool) {
         self.leads = leads;
@@ -469,6 +579,8 @@
         if self.ends.is_empty() {
             self.suspected.clear();
         }
+        self.drop_old_asks(now);
+        self.allowed.retain(|_, until| now < *until);
     }
 
     /// Returns how many ends, parts of answered requests and held parts are remembered.
--- a/crates/decide/tests/crash_fleet.rs
+++ b/crates/decide/tests/crash_fleet.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use bamboocourse_decide::{CrashLog, EndpointEnd, Prompt, PromptCheck};
+use bamboocourse_decide::{CrashLog, EndpointEnd, PartId, Prompt, PromptCheck, TRIAL_TERM, VmId};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -43,8 +43,20 @@
     alive: bool,
 }
 
+/// A request with the part, and the VM where it waits for the leader's word.
+struct Waiting {
+    vm: usize,
+    request: Prompt,
+    until: Duration,
+}
+
 struct Fleet {
     vms: Vec<Vm>,
+    waiting: Vec<Waiting>,
+    /// When requests were tried.
+    trials: Vec<Duration>,
+    /// Whether requests that are tried are answered.
+    answers: bool,
     domains: usize,
     leader: Option<usize>,
     /// When there will be a leader again.
@@ -70,8 +82,18 @@
         });
         let vms: Vec<Vm> = vms.collect();
         let now = Duration::from_secs(10);
-        let mut fleet =
-            Self { vms, domains, leader: Some(0), leads_from: now, cut: None, now, rng };
+        let mut fleet = Self {
+            vms,
+            waiting: Vec::new(),
+            trials: Vec::new(),
+            answers: true,
+            domains,
+            leader: Some(0),
+            leads_from: now,
+            cut: None,
+            now,
+            rng,
+        };
         fleet.vms[0].log.set_leads(true);
         fleet.run(Duration::from_secs(1));
         fleet
@@ -184,9 +206,18 @@
         for (part, began) in cleared {
             log.on_told_sound(&part, began, now);
         }
+        let asked = self.vms[vm].log.asked_trials(now);
+        let name: VmId = format!("vm{vm}").into();
+        let log = &mut self.vms[upper].log;
+        is_new |= !asked.is_empty();
+        let allowed = asked.into_iter().filter(|part| log.on_trial_ask(part, &name, now));
+        let allowed: Vec<PartId> = allowed.collect();
         let held = log.held();
         let changed = held.len() != before.len();
         self.vms[vm].log.on_told(held, now);
+        for part in allowed {
+            self.allow(vm, &part);
+        }
         if changed {
             self.tell_members(upper);
         }
@@ -195,6 +226,51 @@
         }
     }
 
+    /// A VM is told that it may try one request; it passes that on to the one that asked it.
+    fn allow(&mut self, vm: usize, part: &PartId) {
+        let now = self.now;
+        if let Some(member) = self.vms[vm].log.on_trial_allowed(part, now) {
+            let member = member.trim_start_matches("vm").parse().expect("a VM's number");
+            self.allow(member, part);
+        }
+    }
+
+    /// A request with the part comes to a VM.
+    fn request(&mut self, vm: usize, number: u64) {
+        let parts = vec!["first".into(), BAD.into()];
+        let request = Prompt { request: number, workspace: "w5".into(), parts };
+        self.waiting.push(Waiting { vm, request, until: self.now + TRIAL_TERM });
+        self.check_waiting();
+    }
+
+    /// Tries the requests that wait and may be tried, and refuses those that need not wait.
+    fn check_waiting(&mut self) {
+        let now = self.now;
+        for Waiting { vm, request, until } in std::mem::take(&mut self.waiting) {
+            let log = &mut self.vms[vm].log;
+            match log.check(&request, now) {
+                PromptCheck::Held(held) => {
+                    let known = log.asked_trials(now).len();
+                    if now < until && log.ask_trial(&held.part, request.request, now) {
+                        if log.asked_trials(now).len() > known {
+                            self.hurry(vm);
+                        }
+                        self.waiting.push(Waiting { vm, request, until });
+                    }
+                }
+                PromptCheck::Trial => {
+                    self.trials.push(now);
+                    if self.answers {
+                        log.on_sound(&request.workspace, &request.parts, now, now);
+                    } else {
+                        self.crash(vm, request.request);
+                    }
+                }
+                PromptCheck::Open | PromptCheck::EndedEndpoints(_) => {}
+            }
+        }
+    }
+
     /// A relay without a leader tells the other one of its domain all that it knows.
     fn tell_other_relay(&mut self, vm: usize) {
         let other = (vm + self.domains) % (self.domains * 2);
@@ -232,6 +308,7 @@
                 self.vms[vm].next_report = self.now + REPORT_INTERVAL;
                 self.report(vm);
             }
+            self.check_waiting();
         }
     }
 
@@ -358,3 +435,71 @@
         fleet.now - began
     });
 }
+
+/// The time between two requests with the part in the whole fleet.
+const REQUEST_INTERVALS: [Duration; 3] =
+    [Duration::from_millis(100), Duration::from_secs(1), Duration::from_secs(60)];
+/// From the last crash until a first request may be tried.
+const TRIAL_DELAY: Duration = Duration::from_millis(1_500);
+
+impl Fleet {
+    /// Sends requests with the part to random VMs, at intervals, until all VMs have let it go; returns
+    /// how long that takes.
+    fn request_until_let_go(&mut self, interval: Duration) -> Duration {
+        let began = self.now;
+        for number in 10_000.. {
+            let vm = self.rng.random_range(0..self.vms.len());
+            self.request(vm, number);
+            let next = self.now + interval;
+            while self.now < next {
+                if self.vms.iter().all(|vm| vm.log.held().is_empty()) {
+                    return self.now - began;
+                }
+                self.run(STEP);
+            }
+            assert!(self.now < began + Duration::from_secs(300), "it is still held back");
+        }
+        unreachable!("there are always more requests")
+    }
+}
+
+// Only the leader knows which request is the first; at 295 VMs, its own callers send one in 295.
+#[test]
+fn part_that_is_held_back_wrongly_is_let_go_wherever_requests_with_it_come() {
+    for interval in REQUEST_INTERVALS {
+        let bound = TRIAL_DELAY + interval + TRIAL_TERM + TARGET;
+        play(&format!("trial, a request each {interval:?}"), bound, |fleet| {
+            for number in 0..3 {
+                fleet.crash(number as usize % 3, number);
+                fleet.run(Duration::from_millis(50));
+            }
+            fleet.run(TARGET / 2);
+            let time = fleet.request_until_let_go(interval);
+            assert_eq!(fleet.trials.len(), 1, "{:?}", fleet.trials);
+            time
+        });
+    }
+}
+
+// Requests with the bad part come to all VMs at the same moment.
+#[test]
+fn one_request_is_tried_at_a_time_in_the_whole_fleet() {
+    for (size, domains) in SIZES {
+        for seed in 0..SEEDS {
+            let mut fleet = Fleet::new(size, domains, seed);
+            fleet.answers = false;
+            fleet.crash_some(3, 0, |_| true);
+            let mut number = 10_000;
+            for _ in 0..80 {
+                for vm in 0..size {
+                    fleet.request(vm, number);
+                    number += 1;
+                }
+                fleet.run(Duration::from_millis(250));
+            }
+            let gaps: Vec<Duration> = fleet.trials.windows(2).map(|two| two[1] - two[0]).collect();
+            assert!(!fleet.trials.is_empty() && fleet.trials.len() <= 3, "{:?}", fleet.trials);
+            assert!(gaps.iter().all(|gap| *gap >= TARGET), "{gaps:?}");
+        }
+    }
+}
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -80,6 +80,8 @@
     News(Vec<Held>),
     /// This VM, a relay, got permits for endpoints that name limits.
     PermitsCame,
+    /// A VM that reports to this relay may try one request with a part of prompts.
+    TrialAllowed(VmId, PartId),
     /// A relay answered this VM's report.
     RelayAlive,
     /// The events of a message of the leader or a relay precede this one.
@@ -317,6 +319,7 @@
                 }
             }
             CoordinatorEvent::PermitsCame => self.pass_on_permits(),
+            CoordinatorEvent::TrialAllowed(vm, part) => self.pass_on_trial(&vm, &part),
             CoordinatorEvent::RelayAlive => self.leader_heard = now,
             CoordinatorEvent::LinkMessage(open) => drop(open),
             CoordinatorEvent::StoreLost => {
@@ -484,6 +487,11 @@
         self.handles.roster.is_relay() && !self.leaving
     }
 
+    /// Returns whether this VM leads and its lease has not lapsed.
+    fn leads_now(&self, now: Duration) -> bool {
+        self.leadership.is_some() && self.lease.term().is_some_and(|(_, until)| now < until)
+    }
+
     /// Answers a VM that reports to this relay.
     fn answer_member(&mut self, peer: PeerId, status: &Status, now: Duration) -> LeadMessage {
         let lacks = self.handles.scheduler.on_member(status);
@@ -494,6 +502,7 @@
         reply.vms = self.handles.quotas.vms() as u32;
         reply.funded = self.handles.quotas.can_grant();
         reply.current = self.is_current();
+        self.handles.crashes.answer_asks(status, self.leads_now(now), &mut reply);
         self.handles.crashes.tell(&mut reply);
         reply.permits = self.handles.scheduler.on_member_wants(status);
         if let Some(known) = self.peers.get_mut(&peer) {
@@ -535,6 +544,8 @@
     fn answer_relay(&mut self, peer: PeerId, status: &Status, now: Duration) -> LeadMessage {
         let mut reply = self.store_updates(peer, status);
         reply.current = self.handles.endpoint_list.is_leader_current();
+        // A leader that was stopped may not know yet that another one issues permits.
+        let in_term = self.leads_now(now);
         let Some(leadership) = &mut self.leadership else { return reply };
         let vm = VmId::new(&status.vm);
         if let Some(relay) = reporting_vm(status) {
@@ -557,11 +568,11 @@
         reply.floor = leadership.token_pools.floor_weight(&status.vm);
         reply.vms = leadership.active_vms(now);
         self.handles.scheduler.on_told_leaving(status);
-        // A leader that was stopped may not know yet that another one issues permits.
-        if self.lease.term().is_some_and(|(_, until)| now < until) {
+        self.handles.crashes.on_report(status);
+        if in_term {
             reply.permits = self.handles.scheduler.issue_permits(status);
+            self.handles.crashes.answer_asks(status, true, &mut reply);
         }
-        self.handles.crashes.on_report(status);
         self.handles.crashes.tell(&mut reply);
         leadership.placement.on_unreachable(&status.unreached, now);
         leadership.placement.on_demand(&vm, status.demand.clone(), &status.adapters, now);
@@ -708,6 +719,17 @@
         }
     }
 
+    /// Tells a member that it may try one request with a part of prompts.
+    fn pass_on_trial(&self, vm: &VmId, part: &PartId) {
+        let member = |peer: &&Peer| peer.position == Some(Position::Member) && peer.vm == *vm;
+        if let Some(peer) = self.peers.values().find(member) {
+            let (role, trials) = (Role::Relay.into(), vec![part.to_string()]);
+            let message = LeadMessage { role, trials, ..LeadMessage::default() };
+            // If the connection has ended, the trial is lost.
+            let _ = peer.sender.send(Body::Lead(message));
+        }
+    }
+
     /// Tells the members whose callers lack a model or an adapter what has changed at endpoints; the
     /// others learn of it with the reply to their next report.
     fn tell_waiting_members(&mut self, now: Duration) {
--- a/crates/entry/src/process/crashes.rs
+++ b/crates/entry/src/process/crashes.rs
@@ -7,9 +7,11 @@
 
 use bamboocourse_decide::{
     CrashLog, EndpointEnd, EndpointInstance, HeldPart, PartChange, PartId, Prompt, PromptCheck,
-    WorkspaceId,
+    TRIAL_TERM, VmId, WorkspaceId,
 };
 use log::{info, warn};
+use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::edge::clock::boot_now;
 use crate::process::coordinator::row::HeldPartRow;
@@ -26,11 +28,13 @@
     log: Mutex<CrashLog>,
     scheduler: Arc<Scheduler>,
     metrics: Arc<Metrics>,
+    /// Notified when the VM that this one reports to has told something.
+    told: Notify,
 }
 
 impl Crashes {
     pub(crate) fn new(scheduler: Arc<Scheduler>, metrics: Arc<Metrics>) -> Self {
-        Self { log: Mutex::default(), scheduler, metrics }
+        Self { log: Mutex::default(), scheduler, metrics, told: Notify::new() }
     }
 
     /// Returns whether a request may be sent, for the first time or again.
@@ -43,6 +47,31 @@
         check
     }
 
+    /// Returns whether a new request may be sent; a request that could be a trial waits for the leader's
+    /// word.
+    pub(crate) async fn admit(&self, prompt: &Prompt) -> PromptCheck {
+        let until = Instant::now() + TRIAL_TERM;
+        let mut asked = false;
+        loop {
+            let told = self.told.notified();
+            let check = self.check(prompt);
+            let PromptCheck::Held(held) = &check else { return check };
+            if !self.lock().ask_trial(&held.part, prompt.request, boot_now()) {
+                return check;
+            }
+            if !asked {
+                info!(part = held.part.as_str(), trials = held.trials;
+                    "the leader is asked whether a request may be tried");
+                // The next report tells it.
+                self.scheduler.shortage.notify_one();
+                asked = true;
+            }
+            if tokio::time::timeout_at(until, told).await.is_err() {
+                return check;
+            }
+        }
+    }
+
     /// Returns whether it is known that an instance of an endpoint has ended.
     pub(crate) fn has_ended(&self, instance: &EndpointInstance) -> bool {
         self.lock().has_ended(instance)
@@ -92,6 +121,7 @@
         let (ends, told) = log.ends_after(told);
         status.ended = ends.iter().map(|end| end_message(end, now)).collect();
         status.sound_parts = sound_messages(&log.cleared(), now);
+        status.trial_asks = log.asked_trials(now).iter().map(ToString::to_string).collect();
         if first {
             status.held_parts = held_messages(&log, now);
         }
@@ -121,14 +151,38 @@
         message.held_parts = held_messages(&self.lock(), boot_now());
     }
 
-    /// Applies what the VM tells that this one reports to.
-    pub(crate) fn on_told(&self, message: &Lead) {
-        if !message.tells_parts {
-            return;
+    /// Answers the trials that a VM which reports to this one asks for; `leads` says that this VM holds
+    /// the lease now, and so may allow them.
+    pub(crate) fn answer_asks(&self, status: &Status, leads: bool, reply: &mut Lead) {
+        let (vm, now) = (VmId::new(&status.vm), boot_now());
+        for part in &status.trial_asks {
+            let part = PartId::new(part);
+            let mut log = self.lock();
+            if leads == log.leads() && log.on_trial_ask(&part, &vm, now) {
+                info!(part = part.as_str(), vm = vm.as_str(); "a VM may try one request with a part");
+                reply.trials.push(part.to_string());
+            } else if !leads {
+                // The next report tells it.
+                self.scheduler.shortage.notify_one();
+            }
         }
+    }
+
+    /// Applies what the VM tells that this one reports to; returns the trials to pass on, and to whom.
+    pub(crate) fn on_told(&self, message: &Lead) -> Vec<(VmId, PartId)> {
         let now = boot_now();
-        let held = message.held_parts.iter().map(|held| read_held(held, now)).collect();
-        self.apply(|log| log.on_told(held, now));
+        if message.tells_parts {
+            let held = message.held_parts.iter().map(|held| read_held(held, now)).collect();
+            self.apply(|log| log.on_told(held, now));
+        }
+        let parts = message.trials.iter().map(PartId::new);
+        let allowed = parts.filter_map(|part| {
+            let vm = self.lock().on_trial_allowed(&part, now);
+            vm.map(|vm| (vm, part))
+        });
+        let passed_on = allowed.collect();
+        self.told.notify_waiters();
+        passed_on
     }
 
     /// Returns the parts that are held back, for the lease's row; `to_store` converts times to the
@@ -192,8 +246,7 @@
                         "endpoints have ended under requests with a part of their prompts");
                 }
                 PartChange::Held(held) => {
-                    warn!(part = held.part.as_str(), ends = held.ends, trials = held.trials,
-                        weak = held.weak,
+                    warn!(part = held.part.as_str(), ends = held.ends, trials = held.trials, weak = held.weak,
                         workspace = held.workspace.as_deref().unwrap_or("all"),
                         first_ms = now.saturating_sub(held.first).as_millis() as u64,
                         last_ms = now.saturating_sub(held.last).as_millis() as u64;
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -689,7 +689,10 @@
                 vanished: message.vanished.iter().map(EndpointId::new).collect(),
             });
         }
-        self.crashes.on_told(message);
+        for (vm, part) in self.crashes.on_told(message) {
+            // The receiver is gone only while the process shuts down.
+            let _ = self.events.send(CoordinatorEvent::TrialAllowed(vm, part));
+        }
         self.apply_limits(message);
         match message.role() {
             Role::None => {}
--- a/crates/entry/src/request/loss.rs
+++ b/crates/entry/src/request/loss.rs
@@ -87,10 +87,10 @@
         self.crashes.on_sound(&job.prompt.workspace, &job.prompt.parts, began.elapsed());
     }
 
-    /// Refuses a request that has not been sent if a part of its prompt is held back; returns whether
-    /// it is sent as a trial.
-    pub(super) fn check_prompt(&self, prompt: &Prompt) -> Result<bool, Refusal> {
-        match self.crashes.check(prompt) {
+    /// Refuses a new request if a part of its prompt is held back; returns whether it is sent as a
+    /// trial.
+    pub(super) async fn check_prompt(&self, prompt: &Prompt) -> Result<bool, Refusal> {
+        match self.crashes.admit(prompt).await {
             PromptCheck::Open | PromptCheck::EndedEndpoints(_) => Ok(false),
             PromptCheck::Trial => Ok(true),
             PromptCheck::Held(held) => {
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -213,7 +213,7 @@
             workspace: workspace.map(|workspace| workspace.name.clone()).unwrap_or_default(),
             parts: request.parts.clone(),
         };
-        let is_trial = self.check_prompt(&prompt)?;
+        let is_trial = self.check_prompt(&prompt).await?;
         let admission = match workspace {
             Some(workspace) if workspace.rate > 0.0 => {
                 let tokens = request
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -121,6 +121,9 @@
     /// The permits for endpoints with limits that are wanted or were not used.
     #[prost(message, repeated, tag = "36")]
     pub wants: ::prost::alloc::vec::Vec<PermitWant>,
+    /// The held parts of prompts for which the sender has a request that could be tried.
+    #[prost(string, repeated, tag = "37")]
+    pub trial_asks: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// The limit of requests of an endpoint that is in force, or has ended.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -475,6 +478,9 @@
     /// Permits for the receiver.
     #[prost(message, repeated, tag = "35")]
     pub permits: ::prost::alloc::vec::Vec<Permits>,
+    /// The held parts of prompts with which the receiver may try one request each.
+    #[prost(string, repeated, tag = "36")]
+    pub trials: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// The relays of the fleet.
 #[derive(Clone, PartialEq, ::prost::Message)]
