--- a/crates/decide/tests/limit_fleet.rs
+++ b/crates/decide/tests/limit_fleet.rs
@@ -47,9 +47,9 @@
     /// A caller's request comes to some VM.
     Request,
     /// A member's ask for a request comes to its relay, with the time at which it was asked.
-    Ask(usize, usize, Duration),
+    Ask(usize, usize, Number, Duration),
     /// The relay's answer comes back.
-    Grant(usize, Option<IssuedPermits>, Duration),
+    Grant(usize, Number, Option<IssuedPermits>, Duration),
     Report(usize),
     ReportArrives {
         from: usize,
@@ -66,9 +66,9 @@
         sent: Duration,
     },
     Tick(usize),
-    /// A request arrives at the endpoint, from a VM that sent it at a time.
-    Arrival(usize, Duration),
-    Answer(usize, Option<NamedLimit>, Duration),
+    /// A request arrives at an endpoint, from a VM that sent it at a time.
+    Arrival(usize, Number, Duration),
+    Answer(usize, Number, Option<NamedLimit>, Duration),
     NewLeader(usize),
     /// A third of the relays, with their members, is cut off from the others, or back.
     Cut(bool),
@@ -77,6 +77,8 @@
 }
 
 type Limits = Vec<(EndpointInstance, LimitStatement)>;
+/// The number of an endpoint, from 0.
+type Number = u64;
 
 struct Vm {
     limits: RequestLimits,
@@ -84,12 +86,13 @@
     /// The last change that the upper VM was told, and the last one that each lower VM was told.
     told: LimitNumber,
     told_lower: FastMap<usize, LimitNumber>,
-    queue: Vec<Duration>,
+    /// The requests that wait for permits, and until when.
+    queue: Vec<(Number, Duration)>,
     next_report: Duration,
     members: u32,
     life: u32,
-    /// When this process first got an answer with a limit.
-    named: Option<Duration>,
+    /// When this process first got an answer with a limit of each endpoint.
+    named: FastMap<Number, Duration>,
 }
 
 /// What happens to the fleet.
@@ -114,19 +117,27 @@
     events: BinaryHeap<Reverse<(Duration, u64, usize)>>,
     pending: Vec<Option<Event>>,
     now: Duration,
+    /// The endpoints, each of which is asked for as often as the others.
+    endpoints: Number,
+    /// The limit that all of them name.
     limit: Option<f64>,
     /// Whether other endpoints can serve what this one cannot take.
     has_others: bool,
     interval: f64,
     trouble: Trouble,
-    arrivals: Vec<Duration>,
+    arrivals: Vec<(Number, Duration)>,
     /// Until when a VM that does not lead any more goes on as the leader.
     former: Option<(usize, Duration)>,
     rng: StdRng,
 }
 
+fn instance(number: Number) -> EndpointInstance {
+    (format!("e{number}").into(), 7)
+}
+
+/// Returns the endpoint of a fleet that has one.
 fn endpoint() -> EndpointInstance {
-    ("e1".into(), 7)
+    instance(0)
 }
 
 fn name(vm: usize) -> VmId {
@@ -143,6 +154,7 @@
             events: BinaryHeap::new(),
             pending: Vec::new(),
             now: Duration::from_secs(10),
+            endpoints: 1,
             limit: None,
             has_others,
             interval: 1.0 / rate,
@@ -187,7 +199,7 @@
             next_report: self.now,
             members,
             life,
-            named: None,
+            named: FastMap::default(),
         }
     }
 
@@ -254,24 +266,28 @@
                 let share: f64 = self.rng.random_range(0.0001..1.0);
                 let pause = Duration::from_secs_f64(-share.ln() * self.interval);
                 self.after(pause, Event::Request);
+                let number = match self.endpoints {
+                    1 => 0,
+                    endpoints => self.rng.random_range(0..endpoints),
+                };
                 match self.vms[vm].upper.filter(|_| vm >= self.relays) {
                     Some(relay) => {
                         let way = self.way();
-                        self.after(way, Event::Ask(relay, vm, now));
+                        self.after(way, Event::Ask(relay, vm, number, now));
                     }
-                    None => self.start(vm),
+                    None => self.start(vm, number),
                 }
             }
-            Event::Ask(relay, vm, asked) => {
+            Event::Ask(relay, vm, number, asked) => {
                 self.vms[relay].limits.refresh(now);
-                let permit = self.vms[relay].limits.pass_on_one(&endpoint(), now);
+                let permit = self.vms[relay].limits.pass_on_one(&instance(number), now);
                 let way = self.way();
-                self.after(way, Event::Grant(vm, permit, asked));
+                self.after(way, Event::Grant(vm, number, permit, asked));
             }
-            Event::Grant(vm, permit, asked) => {
+            Event::Grant(vm, number, permit, asked) => {
                 let permits: Vec<_> = permit.into_iter().collect();
                 self.vms[vm].limits.on_permits(&permits, asked, now);
-                self.start(vm);
+                self.start(vm, number);
             }
             Event::Report(vm) => {
                 if self.vms[vm].next_report > now {
@@ -310,21 +326,22 @@
                 }
                 self.after(TICK, Event::Tick(vm));
             }
-            Event::Arrival(vm, sent) => {
+            Event::Arrival(vm, number, sent) => {
                 // A new process does not know the limit at first, which counts from when it does.
-                let Vm { life, named, .. } = self.vms[vm];
-                if life == 0 || named.is_some_and(|named| now >= named + TOLD_DELAY) {
-                    self.arrivals.push(now);
+                let Vm { life, named, .. } = &self.vms[vm];
+                if *life == 0 || named.get(&number).is_some_and(|named| now >= *named + TOLD_DELAY)
+                {
+                    self.arrivals.push((number, now));
                 }
                 let way = self.way();
                 let named = self.limit.map(NamedLimit::PerSecond);
-                self.after(ANSWER_TIME + way, Event::Answer(vm, named, sent));
+                self.after(ANSWER_TIME + way, Event::Answer(vm, number, named, sent));
             }
-            Event::Answer(vm, named, sent) => {
+            Event::Answer(vm, number, named, sent) => {
                 if named.is_some() {
-                    self.vms[vm].named.get_or_insert(now);
+                    self.vms[vm].named.entry(number).or_insert(now);
                 }
-                let change = self.vms[vm].limits.on_answer(&endpoint(), named, sent, now);
+                let change = self.vms[vm].limits.on_answer(&instance(number), named, sent, now);
                 if change.is_some() {
                     self.hurry(vm);
                     self.tell(vm);
@@ -401,8 +418,10 @@
     fn report(&mut self, vm: usize) {
         let now = self.now;
         let Some(to) = self.vms[vm].upper else { return };
-        let waiting = self.vms[vm].queue.len() as u32;
-        let waiting = (waiting > 0).then_some((endpoint(), waiting)).into_iter().collect();
+        let mut waiting: FastMap<EndpointInstance, u32> = FastMap::default();
+        for (number, _) in &self.vms[vm].queue {
+            *waiting.entry(instance(*number)).or_default() += 1;
+        }
         let sender = &mut self.vms[vm];
         let told = sender.limits.last();
         let report = sender.limits.report(sender.told, &waiting, now);
@@ -477,58 +496,69 @@
     }
 
     /// Sends a request, lets it wait for a permit, or sends it elsewhere.
-    fn start(&mut self, vm: usize) {
-        let now = self.now;
+    fn start(&mut self, vm: usize, number: Number) {
+        let (now, endpoint) = (self.now, instance(number));
         self.vms[vm].limits.refresh(now);
-        if self.vms[vm].limits.rate(&endpoint()).is_none() {
-            self.send(vm, None);
-        } else if let Some(permit) = self.vms[vm].limits.take(&endpoint(), now) {
-            self.send(vm, Some(permit));
+        if self.vms[vm].limits.rate(&endpoint).is_none() {
+            self.send(vm, number, None);
+        } else if let Some(permit) = self.vms[vm].limits.take(&endpoint, now) {
+            self.send(vm, number, Some(permit));
         } else if self.has_others {
-            self.vms[vm].limits.on_passed(&endpoint());
+            self.vms[vm].limits.on_passed(&endpoint);
         } else {
-            self.vms[vm].queue.push(now + MAX_WAIT);
+            self.vms[vm].queue.push((number, now + MAX_WAIT));
             self.hurry(vm);
         }
     }
 
     fn send_waiting(&mut self, vm: usize) {
         let now = self.now;
-        self.vms[vm].queue.retain(|until| now < *until);
-        while !self.vms[vm].queue.is_empty() {
-            if self.vms[vm].limits.rate(&endpoint()).is_some() {
-                let Some(permit) = self.vms[vm].limits.take(&endpoint(), now) else { return };
-                self.send(vm, Some(permit));
+        let mut queue = std::mem::take(&mut self.vms[vm].queue);
+        queue.retain(|(_, until)| now < *until);
+        // The last ones first.
+        while let Some((number, until)) = queue.pop() {
+            let limits = &mut self.vms[vm].limits;
+            let is_limited = limits.rate(&instance(number)).is_some();
+            let permit = limits.take(&instance(number), now);
+            if is_limited && permit.is_none() {
+                self.vms[vm].queue.insert(0, (number, until));
             } else {
-                self.send(vm, None);
+                self.send(vm, number, permit);
             }
-            self.vms[vm].queue.pop();
         }
     }
 
-    fn send(&mut self, vm: usize, permit: Option<Permit>) {
+    fn send(&mut self, vm: usize, number: Number, permit: Option<Permit>) {
         if let Some(permit) = permit {
             assert!(permit.is_valid(self.now));
-            self.vms[vm].limits.on_used(&endpoint());
+            self.vms[vm].limits.on_used(&instance(number));
         }
         let way = self.way();
-        self.after(way, Event::Arrival(vm, self.now));
+        self.after(way, Event::Arrival(vm, number, self.now));
     }
 
-    /// Returns the most arrivals of a span from a time on.
+    /// Returns when requests arrived at an endpoint from a time on.
+    fn arrivals_at(&self, number: Number, from: Duration) -> Vec<Duration> {
+        let arrivals = self.arrivals.iter().filter(|(to, at)| *to == number && *at >= from);
+        arrivals.map(|(_, at)| *at).collect()
+    }
+
+    /// Returns the most arrivals at one endpoint in a span from a time on.
     fn most_in_span(&self, from: Duration) -> usize {
-        let arrivals: Vec<Duration> =
-            self.arrivals.iter().copied().filter(|at| *at >= from).collect();
-        let in_span = |(index, start): (usize, &Duration)| {
-            arrivals[index..].iter().take_while(|at| **at < *start + SPAN).count()
+        let most = |number: Number| {
+            let arrivals = self.arrivals_at(number, from);
+            let in_span = |(index, start): (usize, &Duration)| {
+                arrivals[index..].iter().take_while(|at| **at < *start + SPAN).count()
+            };
+            arrivals.iter().enumerate().map(in_span).max().unwrap_or(0)
         };
-        arrivals.iter().enumerate().map(in_span).max().unwrap_or(0)
+        (0..self.endpoints).map(most).max().unwrap_or(0)
     }
 
-    /// Returns how many requests a second arrived from a time on.
+    /// Returns how many requests a second arrived from a time on, at the endpoint that got least.
     fn rate_since(&self, from: Duration) -> f64 {
-        let count = self.arrivals.iter().filter(|at| **at >= from).count();
-        count as f64 / (self.now - from).as_secs_f64()
+        let counts = (0..self.endpoints).map(|number| self.arrivals_at(number, from).len());
+        counts.min().unwrap_or(0) as f64 / (self.now - from).as_secs_f64()
     }
 }
 
@@ -690,3 +720,52 @@
     assert!((8..=12).contains(&own), "{own} orders in 20 s");
     assert!((24..=32).contains(&issued), "{issued} requests in 20 s beside {own} orders");
 }
+
+/// Lets many endpoints name the same limit in the same moment, and checks that all VMs soon know that, and
+/// how much of each limit arrives.
+fn check_many(size: usize, endpoints: Number, limit: f64) {
+    let trouble = Trouble { delay: Duration::from_millis(3), ..Trouble::default() };
+    let demand = 3.0 * limit * endpoints as f64;
+    let mut fleet = Fleet::new(size, demand, true, trouble, 11);
+    fleet.endpoints = endpoints;
+    fleet.run(Duration::from_secs(2));
+    fleet.limit = Some(limit);
+    let first = fleet.now;
+    let all = |fleet: &Fleet, vm: &Vm| {
+        (0..fleet.endpoints).all(|number| vm.limits.rate(&instance(number)).is_some())
+    };
+    let told = loop {
+        if fleet.vms.iter().all(|vm| all(&fleet, vm)) {
+            break fleet.now - first;
+        }
+        fleet.run(Duration::from_millis(20));
+    };
+    fleet.run(first + CONTACT_TIME - fleet.now);
+    let from = fleet.now;
+    fleet.run(Duration::from_secs(40));
+    let (rate, most) = (fleet.rate_since(from), fleet.most_in_span(from));
+    println!(
+        "{size} VMs, {endpoints} limits of {limit}: all known after {told:?}, \
+         at least {rate:.2} a second, at most {most} in 4 s"
+    );
+    assert!(told < CONTACT_TIME, "some VM knows a limit only after {told:?}");
+    let allowed = limit * SPAN.as_secs_f64() * 1.5 + FREE_REQUESTS;
+    assert!(most as f64 <= allowed, "{most} in 4 s, {allowed} allowed");
+    assert!(rate >= limit * MIN_USE, "{rate} a second of {limit}");
+}
+
+macro_rules! many_limits {
+    ($($name:ident: $size:expr, $endpoints:expr, $limit:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            check_many($size, $endpoints, $limit);
+        })*
+    };
+}
+
+many_limits! {
+    small_fleet_uses_limits_named_in_the_same_second: 8, 9, 3.3;
+    middle_fleet_uses_limits_named_in_the_same_second: 79, 40, 3.3;
+    large_fleet_uses_limits_named_in_the_same_second: 295, 100, 3.3;
+    large_fleet_uses_limits_that_are_small_for_its_relays: 295, 100, 0.5;
+}
