--- a/crates/entry/src/process/crashes.rs
+++ b/crates/entry/src/process/crashes.rs
@@ -158,6 +158,7 @@
         for part in &status.trial_asks {
             let part = PartId::new(part);
             let mut log = self.lock();
+            // The log may still lead although the lease has lapsed; it must not allow trials then.
             if leads == log.leads() && log.on_trial_ask(&part, &vm, now) {
                 info!(part = part.as_str(), vm = vm.as_str(); "a VM may try one request with a part");
                 reply.trials.push(part.to_string());
