Observability: the age of each table by source, and what a silent store left open

Adds the metric table_age_seconds by table and source, config_ms and list_ms to each request's line, and a line when the store answers calls for the lease again, with how long the feeds have been open. No decision changes.

--- a/crates/decide/src/process/mod.rs
+++ b/crates/decide/src/process/mod.rs
@@ -12,3 +12,4 @@
 pub(crate) mod sliding_window;
 pub(crate) mod store_contact;
 pub(crate) mod store_position;
+pub(crate) mod table_age;
--- a/crates/entry/src/process/coordinator/lease.rs
+++ b/crates/entry/src/process/coordinator/lease.rs
@@ -98,16 +98,32 @@
             Err(error) => {
                 self.handles.metrics.store_errors.add(1, &[]);
                 warn!(error:%; "the lease's row cannot be read from the store");
+                self.store_silent.get_or_insert(now);
                 return;
             }
         };
         self.sync_clock(rows.now, now);
         self.row_era = rows.version.era;
-        self.handles.endpoint_list.on_store_response();
+        self.on_store_response(now);
         let row = rows.rows.iter().find(|row| row.key == LEADER_KEY);
         self.observe(row, now);
     }
 
+    /// Records that the store has answered a call for the lease's row.
+    fn on_store_response(&mut self, now: Duration) {
+        self.handles.endpoint_list.on_store_response();
+        if let Some(since) = self.store_silent.take() {
+            let freshness = &self.handles.freshness;
+            info!(failed_ms = now.saturating_sub(since).as_millis() as u64,
+                leading = self.leadership.is_some(),
+                config_ms = freshness.age_ms(Table::Operator),
+                config_open_ms = freshness.open_ms(Table::Operator),
+                list_ms = freshness.age_ms(Table::Endpoints),
+                list_open_ms = freshness.open_ms(Table::Endpoints);
+                "the store answers calls for the lease again");
+        }
+    }
+
     /// Sets the offset between the store's clock and this VM's boot clock.
     fn sync_clock(&mut self, store: Duration, now: Duration) {
         self.clock_offset = store.as_millis() as i64 - now.as_millis() as i64;
@@ -335,7 +351,7 @@
             Ok(WriteOutcome::Applied(version, clock)) => {
                 self.sync_clock(clock, now);
                 self.row_era = version.era;
-                self.handles.endpoint_list.on_store_response();
+                self.on_store_response(now);
                 let outcome = CommitOutcome::Committed(version);
                 self.lease.handle(LeaseEvent::Settled(fence, outcome, now));
                 self.on_row_recorded(version, row, now);
@@ -349,6 +365,7 @@
                 self.handles.metrics.store_errors.add(1, &[]);
                 warn!(error:%, leading = self.leadership.is_some();
                     "the lease's row was not written");
+                self.store_silent.get_or_insert(now);
                 self.lease.handle(LeaseEvent::Settled(fence, CommitOutcome::Unknown, now));
                 if let Some(leadership) = &mut self.leadership {
                     leadership.write_failed = true;
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -31,6 +31,7 @@
 use crate::process::active_fleet::ActiveFleet;
 use crate::process::crashes::Crashes;
 use crate::process::endpoint_list::{EndpointList, ListEntry, ListUpdate};
+use crate::process::freshness::Freshness;
 use crate::process::link::OpenMessage;
 use crate::process::metrics::Metrics;
 use crate::process::quotas::Quotas;
@@ -120,6 +121,7 @@
     pub(crate) quotas: Arc<Quotas>,
     pub(crate) crashes: Arc<Crashes>,
     pub(crate) roster: Arc<RosterView>,
+    pub(crate) freshness: Arc<Freshness>,
     pub(crate) metrics: Arc<Metrics>,
     /// The address where the leader accepts VMs; `None` if this VM leads or the leader is unknown.
     pub(crate) leader: watch::Sender<Option<SocketAddr>>,
@@ -142,6 +144,9 @@
     last_read: Duration,
     /// Whether a read or write of the lease's row is in progress.
     store_busy: bool,
+    /// When the first of the reads and writes of the lease's row failed that have failed since the last
+    /// one that was answered.
+    store_silent: Option<Duration>,
     leaving: bool,
     /// Whether members may rely on this relay, as it last told them.
     told_current: Option<bool>,
@@ -245,6 +250,7 @@
             leader_heard: Duration::ZERO,
             last_read: Duration::ZERO,
             store_busy: false,
+            store_silent: None,
             leaving: false,
             told_current: None,
             peers: FastMap::default(),
--- a/crates/entry/src/process/follow.rs
+++ b/crates/entry/src/process/follow.rs
@@ -3,13 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bamboocourse_decide::{ConfigStamp, StorePosition};
+use bamboocourse_decide::{ConfigStamp, StorePosition, TableSource};
 use log::{info, warn};
 use tokio::time::Instant;
 
+use crate::edge::clock::boot_now;
 use crate::edge::{Store, StoreError, StoreRows, Table};
 use crate::process::active_fleet::ActiveFleet;
 use crate::process::endpoint_list::EndpointList;
+use crate::process::freshness::Freshness;
 use crate::process::metrics::{Metrics, StoreCall};
 use crate::process::roster::RosterView;
 
@@ -124,6 +126,7 @@
     store: Arc<dyn Store>,
     sink: Sink,
     roster: Arc<RosterView>,
+    freshness: Arc<Freshness>,
     metrics: Arc<Metrics>,
 ) {
     let table = sink.table();
@@ -148,12 +151,15 @@
         }
         after = after.map(|after| after.max(sink.version()));
         metrics.count_store_call(sink.call());
+        freshness.set_called(table, Some(boot_now()));
         let result = match after {
             Some(after) => store.changes(table, after, FEED_TIMEOUT).await,
             None => store.read(table).await,
         };
+        freshness.set_called(table, None);
         match result {
             Ok(rows) => {
+                freshness.on_told(table, TableSource::Store, boot_now());
                 if !reachable {
                     info!(table:?; "the store can be followed again");
                     reachable = true;
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    ConfigStamp, EndpointId, Handover, Incarnation, LimitNumber, Relay, Roster, StorePosition, VmId,
+    ConfigStamp, EndpointId, Handover, Incarnation, LimitNumber, Relay, Roster, StorePosition,
+    TableSource, VmId,
 };
 use futures_util::{SinkExt, StreamExt};
 use log::{info, warn};
@@ -24,6 +25,7 @@
 use crate::process::coordinator::{CoordinatorEvent, PeerId};
 use crate::process::crashes::Crashes;
 use crate::process::endpoint_list::{EndpointList, ListEntry, ListUpdate};
+use crate::process::freshness::{COPIED_TABLES, Freshness};
 use crate::process::metrics::Metrics;
 use crate::process::quotas::{Quotas, TokensRefused};
 use crate::process::roster::{Position, RosterView};
@@ -71,6 +73,7 @@
     pub(crate) events: mpsc::UnboundedSender<CoordinatorEvent>,
     pub(crate) budget: ByteBudget,
     pub(crate) roster: Arc<RosterView>,
+    pub(crate) freshness: Arc<Freshness>,
     pub(crate) asks: Asks,
     /// The leader's address; `None` if this VM leads or the leader is unknown.
     pub(crate) leader: watch::Receiver<Option<SocketAddr>>,
@@ -561,6 +564,7 @@
                     // Also of a leader that this VM knows from others than the lease's row.
                     if message.role() == Role::Leader && message.sent > 0 {
                         self.endpoint_list.on_relay(message.current);
+                        self.on_tables_told(&message, TableSource::Leader);
                     }
                     if message.clock > 0 {
                         clock = Some((message.clock, boot_now()));
@@ -701,6 +705,15 @@
         }
     }
 
+    /// Records that a reply told what is new in the store, if its sender is in contact with it.
+    fn on_tables_told(&self, message: &Lead, source: TableSource) {
+        if message.current {
+            for table in COPIED_TABLES {
+                self.freshness.on_told(table, source, boot_now());
+            }
+        }
+    }
+
     /// Applies the limits that endpoints name and the permits for this VM.
     fn apply_limits(&self, message: &Lead) {
         let from = match message.role() {
@@ -730,6 +743,7 @@
             // A relay that is out of contact for a moment must not send all its members to the store.
             if message.current {
                 self.roster.on_relayed();
+                self.on_tables_told(message, TableSource::Relay);
             }
             self.quotas.set_share(0, message.vms as usize, message.funded);
         }
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bamboocourse_decide::TableSource;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
-use crate::edge::Store;
+use crate::edge::{Store, Table};
+use crate::process::freshness::{COPIED_TABLES, Freshness};
 
 /// The bucket bounds of the latency histograms, in seconds.
 const BUCKETS_SECONDS: [f64; 12] =
@@ -136,6 +138,28 @@
             .build();
     }
 
+    /// Shows how long ago each source told all changes of each table.
+    pub(crate) fn observe_ages(&self, freshness: Arc<Freshness>) {
+        let meter = self.provider.meter("bamboocourse");
+        meter
+            .f64_observable_gauge("table_age_seconds")
+            .with_description("how long ago a source told all changes of a table of the store")
+            .with_callback(move |gauge| {
+                for table in COPIED_TABLES {
+                    for source in TableSource::ALL {
+                        if let Some(age) = freshness.source_age_ms(table, source) {
+                            let labels = [
+                                KeyValue::new("table", table_label(table)),
+                                KeyValue::new("source", source.name()),
+                            ];
+                            gauge.observe(age as f64 / 1e3, &labels);
+                        }
+                    }
+                }
+            })
+            .build();
+    }
+
     /// Counts a response of a route by its outcome.
     pub(crate) fn count_response(&self, route: &str, kind: &'static str) {
         let route = KeyValue::new("route", route.to_owned());
@@ -179,6 +203,14 @@
     }
 }
 
+fn table_label(table: Table) -> &'static str {
+    match table {
+        Table::Operator => "config",
+        Table::Endpoints => "endpoints",
+        Table::Own => "own",
+    }
+}
+
 fn counter(meter: &Meter, name: &'static str, help: &'static str) -> Counter<u64> {
     meter.u64_counter(name).with_description(help).build()
 }
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod crashes;
 pub(crate) mod endpoint_list;
 pub(crate) mod follow;
+pub(crate) mod freshness;
 pub(crate) mod link;
 pub(crate) mod metrics;
 pub(crate) mod quotas;
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -22,6 +22,7 @@
 use crate::process::crashes::Crashes;
 use crate::process::endpoint_list::EndpointList;
 use crate::process::follow::{self, Sink};
+use crate::process::freshness::Freshness;
 use crate::process::link::{self, LeaderLink, PeerServices};
 use crate::process::metrics::Metrics;
 use crate::process::quotas::Quotas;
@@ -79,6 +80,8 @@
         let metrics = Arc::new(Metrics::new().map_err(std::io::Error::other)?);
         let pool = Pool::new(settings.local);
         metrics.observe_era(store.clone());
+        let freshness = Arc::new(Freshness::default());
+        metrics.observe_ages(freshness.clone());
         let (events, event_receiver) = mpsc::unbounded_channel();
         let scheduler = Arc::new(Scheduler::new(settings.domain.clone(), metrics.clone()));
         let crashes = Arc::new(Crashes::new(scheduler.clone(), metrics.clone()));
@@ -105,6 +108,7 @@
             crashes: crashes.clone(),
             pool: pool.clone(),
             metrics: metrics.clone(),
+            freshness: freshness.clone(),
             open: requests.clone(),
             shutdown: shutdown.clone(),
         });
@@ -127,6 +131,7 @@
             quotas: quotas.clone(),
             crashes: crashes.clone(),
             roster: roster.clone(),
+            freshness: freshness.clone(),
             metrics: metrics.clone(),
             leader,
             events: events.clone(),
@@ -142,6 +147,7 @@
             events: events.clone(),
             budget: pool.budget().clone(),
             roster: roster.clone(),
+            freshness: freshness.clone(),
             asks: Asks::new(relay_receiver),
             leader: leader_receiver,
             found: None,
@@ -161,8 +167,10 @@
             tasks.spawn(status::accept(listener, StatusPage::Metrics(metrics.clone())));
         }
         let config = Sink::Config(active_fleet);
-        tasks.spawn(follow::follow(store.clone(), config, roster.clone(), metrics.clone()));
-        tasks.spawn(follow::follow(store, Sink::Endpoints(endpoint_list), roster, metrics.clone()));
+        for sink in [config, Sink::Endpoints(endpoint_list)] {
+            let (store, roster, metrics) = (store.clone(), roster.clone(), metrics.clone());
+            tasks.spawn(follow::follow(store, sink, roster, freshness.clone(), metrics));
+        }
         tasks.spawn(Coordinator::new(handles, life).run(event_receiver));
         let services = PeerServices {
             events: events.clone(),
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -32,6 +32,7 @@
 use crate::edge::{CallerRequest, Protocol, model_name};
 use crate::process::active_fleet::ActiveFleet;
 use crate::process::crashes::Crashes;
+use crate::process::freshness::Freshness;
 use crate::process::metrics::Metrics;
 use crate::process::quotas::{Quotas, TokenGrant, TokensRefused};
 use crate::process::scheduler::{EndpointSlot, Scheduler};
@@ -73,6 +74,7 @@
     pub(crate) crashes: Arc<Crashes>,
     pub(crate) pool: Pool,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) freshness: Arc<Freshness>,
     /// The number of requests whose response is not complete yet.
     pub(crate) open: OpenCount,
     pub(crate) shutdown: Shutdown,
@@ -133,7 +135,7 @@
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let open = self.open.enter();
-        let mut trace = Trace::new(self.metrics.clone(), self.shutdown.clone(), open, arrived);
+        let mut trace = Trace::new(&self, open, arrived);
         let request = match self.protocol.read_request(&head) {
             Ok(request) => request,
             Err(refusal) => return self.refuse(None, &refusal, trace),
--- a/crates/entry/src/request/trace.rs
+++ b/crates/entry/src/request/trace.rs
@@ -9,8 +9,9 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use super::{DEFAULT_RETRY_AFTER, Job};
-use crate::edge::{CallerRequest, model_name};
+use super::{DEFAULT_RETRY_AFTER, Job, Pipeline};
+use crate::edge::{CallerRequest, Table, model_name};
+use crate::process::freshness::Freshness;
 use crate::process::metrics::Metrics;
 use crate::process::shutdown::{OpenGuard, Phase, Shutdown};
 
@@ -20,6 +21,7 @@
 /// The record of one request; the request counts as open until the trace is dropped.
 pub(super) struct Trace {
     metrics: Arc<Metrics>,
+    freshness: Arc<Freshness>,
     shutdown: Shutdown,
     _open: Arc<OpenGuard>,
     arrived: Instant,
@@ -52,14 +54,15 @@
 }
 
 impl Trace {
-    pub(super) fn new(
-        metrics: Arc<Metrics>,
-        shutdown: Shutdown,
-        open: OpenGuard,
-        arrived: Instant,
-    ) -> Self {
-        let (open, record) = (Arc::new(open), Some(Box::default()));
-        Self { metrics, shutdown, _open: open, arrived, record }
+    pub(super) fn new(pipeline: &Pipeline, open: OpenGuard, arrived: Instant) -> Self {
+        Self {
+            metrics: pipeline.metrics.clone(),
+            freshness: pipeline.freshness.clone(),
+            shutdown: pipeline.shutdown.clone(),
+            _open: Arc::new(open),
+            arrived,
+            record: Some(Box::default()),
+        }
     }
 
     pub(super) fn set_request(&mut self, request: &CallerRequest) {
@@ -182,6 +185,7 @@
         let (open, shutdown) = (self._open.clone(), self.shutdown.clone());
         Trace {
             metrics: self.metrics.clone(),
+            freshness: self.freshness.clone(),
             shutdown,
             _open: open,
             arrived: self.arrived,
@@ -223,7 +227,8 @@
         let Some(record) = self.record.take() else { return };
         self.metrics.count_response(&record.route, kind);
         info!(id = record.id.as_str(), kind, status, route = record.route.as_str(),
-            version = record.version, workspace = record.workspace.as_str(),
+            version = record.version, config_ms = self.freshness.age_ms(Table::Operator),
+            list_ms = self.freshness.age_ms(Table::Endpoints), workspace = record.workspace.as_str(),
             model = record.model.as_str(), endpoint = record.endpoint.as_str(),
             filled_percent = (record.utilization * 100.0) as u64,
             sends = record.sends, events = record.events,
