A VM that nobody tells what is new waits in its feeds for a part of the bound only

Cause: a feed waits 25 s and the call 1.2 s longer; a store that falls silent without closing connections forgets the calls that wait, the leader's too, so nobody is left to tell. Change: the leader, and any VM that nobody tells, waits for a quarter of the time in which a change must apply, and a quarter more for the answer; then it asks again at once, without a wait, until the store answers. A relay gives up a long call for the configuration once the leader is not heard. Decision: TableFeed, FeedTimes.

--- a/crates/entry/src/edge/mod.rs
+++ b/crates/entry/src/edge/mod.rs
@@ -31,6 +31,8 @@
     NotApplied(String),
     /// No response arrived; a write may have been applied, or may be applied later.
     Unknown(String),
+    /// No response arrived while a feed was expected to answer.
+    Overdue,
     /// The response is of this era, which is older than one that was seen; a write may have been
     /// applied.
     OlderEra(StoreEra),
@@ -43,6 +45,7 @@
         match self {
             Self::NotApplied(why) => write!(f, "the store did nothing: {why}"),
             Self::Unknown(why) => write!(f, "the store did not answer: {why}"),
+            Self::Overdue => f.write_str("the store's answer is overdue"),
             Self::OlderEra(era) => write!(f, "the store's answer is of the older era {era}"),
             Self::HistoryGone => f.write_str("the store no longer keeps the history asked for"),
         }
--- a/crates/entry/src/process/follow.rs
+++ b/crates/entry/src/process/follow.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bamboocourse_decide::{ConfigStamp, StorePosition, TableSource};
+use bamboocourse_decide::{
+    ConfigStamp, FeedCall, FeedTimes, Follower, StorePosition, TableFeed, TableSource,
+};
 use log::{info, warn};
 use tokio::time::Instant;
 
@@ -15,8 +17,6 @@
 use crate::process::metrics::{Metrics, StoreCall};
 use crate::process::roster::RosterView;
 
-/// How long one call to the store waits for changes; each call has a cost, so the wait is long.
-const FEED_TIMEOUT: Duration = Duration::from_secs(25);
 /// The delay between calls, so that one call reads a series of changes together.
 const FEED_DELAY: Duration = Duration::from_millis(250);
 /// How often a VM checks whether the leader still relays changes.
@@ -83,6 +83,16 @@
         }
     }
 
+    /// Returns whether another VM tells this one all changes of the table, even if it reads them from
+    /// the store as well.
+    fn is_told(&self, roster: &RosterView, list: &EndpointList) -> bool {
+        match self {
+            // A reply of the leader brings both tables.
+            Sink::Config(_) => list.is_relayed() || roster.is_relayed(),
+            Sink::Endpoints(_) => self.is_relayed(roster),
+        }
+    }
+
     /// Returns the position up to which relayed changes cover the table; the start if none are
     /// relayed.
     fn version(&self) -> StorePosition {
@@ -119,82 +129,175 @@
     }
 }
 
-/// Follows a table for as long as the process lives.
-///
-/// A VM that is no relay follows it only while no relay tells what is new.
-pub(crate) async fn follow(
-    store: Arc<dyn Store>,
-    sink: Sink,
-    roster: Arc<RosterView>,
-    freshness: Arc<Freshness>,
-    metrics: Arc<Metrics>,
-) {
-    let table = sink.table();
-    let mut after: Option<StorePosition> = None;
-    let started = Instant::now();
-    wait_for_relay(&sink, &roster).await;
-    let mut delay = RETRY_DELAY;
-    let mut reachable = true;
-    let mut reads = None;
-    loop {
-        let is_relayed = sink.version() > StorePosition::START && sink.is_relayed(&roster);
-        if reads.replace(!is_relayed) != Some(!is_relayed) {
-            info!(table:?, reads = !is_relayed, known:% = sink.version(),
-                position:? = roster.position(), relay_age_ms = roster.relay_age();
-                "the source of a table has changed");
-        }
-        if is_relayed {
-            // What was relayed is known; the next read continues from there.
-            after = after.or(Some(StorePosition::START));
-            tokio::time::sleep(RELAY_CHECK_INTERVAL).await;
-            continue;
-        }
-        after = after.map(|after| after.max(sink.version()));
-        metrics.count_store_call(sink.call());
-        freshness.set_called(table, Some(boot_now()));
-        let result = match after {
-            Some(after) => store.changes(table, after, FEED_TIMEOUT).await,
-            None => store.read(table).await,
+/// Follows a table of the store.
+pub(crate) struct TableFollower {
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) sink: Sink,
+    pub(crate) list: Arc<EndpointList>,
+    pub(crate) roster: Arc<RosterView>,
+    pub(crate) freshness: Arc<Freshness>,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+/// The state of a VM's own calls for a table.
+struct Calls {
+    feed: TableFeed,
+    /// The position from which the next call continues; `None` to read the whole table.
+    after: Option<StorePosition>,
+    /// When the process began to follow the table.
+    started: Instant,
+    /// The delay after the next failure.
+    delay: Duration,
+    /// Whether the last call was answered.
+    reachable: bool,
+}
+
+impl TableFollower {
+    /// Follows the table for as long as the process lives.
+    ///
+    /// A VM that is no relay calls the store only while no relay tells what is new.
+    pub(crate) async fn run(self, times: FeedTimes) {
+        let mut calls = Calls {
+            feed: TableFeed::new(times),
+            after: None,
+            started: Instant::now(),
+            delay: RETRY_DELAY,
+            reachable: true,
         };
-        freshness.set_called(table, None);
-        match result {
-            Ok(rows) => {
-                freshness.on_told(table, TableSource::Store, boot_now());
-                if !reachable {
-                    info!(table:?; "the store can be followed again");
-                    reachable = true;
-                }
-                sink.on_recovery();
-                sink.hold_back(&rows, started, &roster).await;
-                sink.on_rows(&rows, after.is_none().then(|| store.era_start()));
-                after = Some(rows.version.max(after.unwrap_or_default()));
-                delay = RETRY_DELAY;
-                tokio::time::sleep(FEED_DELAY).await;
+        wait_for_relay(&self.sink, &self.roster).await;
+        let mut reads = None;
+        loop {
+            let is_relayed =
+                self.sink.version() > StorePosition::START && self.sink.is_relayed(&self.roster);
+            if reads.replace(!is_relayed) != Some(!is_relayed) {
+                info!(table:? = self.sink.table(), reads = !is_relayed,
+                    known:% = self.sink.version(), position:? = self.roster.position(),
+                    relay_age_ms = self.roster.relay_age();
+                    "the source of a table has changed");
             }
-            Err(StoreError::HistoryGone) => {
-                // All VMs that follow the store read the whole table after a restore.
-                let wait = roster.jitter(read_spread(&roster));
-                info!(table:?, after:% = after.unwrap_or_default(), era = store.era(),
-                    wait_ms = wait.as_millis() as u64;
-                    "the store no longer keeps this history; the whole table is read again");
-                after = None;
-                tokio::time::sleep(wait).await;
+            if is_relayed {
+                // What was relayed is known; the next call continues from there.
+                calls.after = calls.after.or(Some(StorePosition::START));
+                tokio::time::sleep(RELAY_CHECK_INTERVAL).await;
+                continue;
             }
-            Err(error) => {
-                metrics.store_errors.add(1, &[]);
-                if reachable {
-                    warn!(table:?, error:%; "the store cannot be followed");
-                    reachable = false;
-                }
-                // The store responds, so entries do not expire for want of it.
-                if !matches!(error, StoreError::OlderEra(_)) {
-                    sink.on_outage();
-                }
-                let wait = if roster.is_relay() { delay } else { delay + roster.jitter(delay * 3) };
-                tokio::time::sleep(wait).await;
-                delay = (delay * 2).min(MAX_RETRY_DELAY);
+            calls.after = calls.after.map(|after| after.max(self.sink.version()));
+            match self.call(&calls).await {
+                Some(Ok((rows, waited))) => self.on_answer(&mut calls, rows, waited).await,
+                Some(Err(error)) => self.on_failure(&mut calls, error).await,
+                None => {}
+            }
+        }
+    }
+
+    /// Calls the store for what is new, or for the whole table; returns the answer and whether the
+    /// store waited for changes as long as it was asked to.
+    ///
+    /// Returns `None` if the call was given up as nobody else tells what is new any more.
+    async fn call(&self, calls: &Calls) -> Option<Result<(StoreRows, bool), StoreError>> {
+        let (table, began) = (self.sink.table(), boot_now());
+        let told = self.sink.is_told(&self.roster, &self.list);
+        self.metrics.count_store_call(self.sink.call());
+        self.freshness.set_called(table, Some(began));
+        let answer = match calls.after {
+            Some(after) => {
+                let call = calls.feed.next_call(self.follower(), told, began);
+                let answer = tokio::select! {
+                    answer = self.read_changes(after, call) => Some(answer),
+                    () = self.untold(), if call.told => None,
+                };
+                answer.map(|answer| answer.map(|rows| (rows, boot_now() >= began + call.wait)))
+            }
+            None => Some(self.store.read(table).await.map(|rows| (rows, false))),
+        };
+        self.freshness.set_called(table, None);
+        if answer.is_none() {
+            let open_ms = boot_now().saturating_sub(began).as_millis() as u64;
+            info!(table:?, open_ms; "nobody tells what is new; the feed is opened again");
+        }
+        answer
+    }
+
+    /// Reads the changes after a position; fails if the answer is overdue.
+    async fn read_changes(
+        &self,
+        after: StorePosition,
+        call: FeedCall,
+    ) -> Result<StoreRows, StoreError> {
+        let answer = self.store.changes(self.sink.table(), after, call.wait);
+        tokio::pin!(answer);
+        // A process that was stopped meanwhile gets the second part to read what has arrived.
+        for time in [call.wait + call.grace / 2, call.grace / 2] {
+            if let Ok(answer) = tokio::time::timeout(time, answer.as_mut()).await {
+                return answer;
             }
         }
+        Err(StoreError::Overdue)
+    }
+
+    /// Waits until no other VM tells what is new.
+    async fn untold(&self) {
+        while self.sink.is_told(&self.roster, &self.list) {
+            tokio::time::sleep(RELAY_CHECK_INTERVAL).await;
+        }
+    }
+
+    fn follower(&self) -> Follower {
+        if self.roster.is_relay() { Follower::Relay } else { Follower::Member }
+    }
+
+    async fn on_answer(&self, calls: &mut Calls, rows: StoreRows, waited: bool) {
+        let table = self.sink.table();
+        if !calls.reachable {
+            info!(table:?; "the store can be followed again");
+            calls.reachable = true;
+        }
+        calls.feed.on_answer(boot_now());
+        calls.delay = RETRY_DELAY;
+        self.sink.on_recovery();
+        self.sink.hold_back(&rows, calls.started, &self.roster).await;
+        let is_whole = calls.after.is_none();
+        self.sink.on_rows(&rows, is_whole.then(|| self.store.era_start()));
+        self.freshness.on_told(table, TableSource::Store, boot_now());
+        calls.after = Some(rows.version.max(calls.after.unwrap_or_default()));
+        // An idle feed that has waited goes on at once.
+        if !rows.rows.is_empty() || !waited {
+            tokio::time::sleep(FEED_DELAY).await;
+        }
+    }
+
+    async fn on_failure(&self, calls: &mut Calls, error: StoreError) {
+        let table = self.sink.table();
+        if let StoreError::HistoryGone = error {
+            // All VMs that follow the store read the whole table after a restore.
+            let wait = self.roster.jitter(read_spread(&self.roster));
+            info!(table:?, after:% = calls.after.unwrap_or_default(), era = self.store.era(),
+                wait_ms = wait.as_millis() as u64;
+                "the store no longer keeps this history; the whole table is read again");
+            calls.after = None;
+            tokio::time::sleep(wait).await;
+            return;
+        }
+        self.metrics.store_errors.add(1, &[]);
+        if calls.reachable {
+            warn!(table:?, error:%, age_ms = self.freshness.age_ms(table);
+                "the store cannot be followed");
+            calls.reachable = false;
+        }
+        // The store responds, so entries do not expire for want of it.
+        if !matches!(error, StoreError::OlderEra(_)) {
+            self.sink.on_outage();
+        }
+        let is_overdue = matches!(error, StoreError::Overdue);
+        calls.feed.on_failure(is_overdue);
+        let wait = match self.follower() {
+            // The call itself has taken long enough.
+            Follower::Relay if is_overdue => return,
+            Follower::Relay => calls.delay,
+            Follower::Member => calls.delay + self.roster.jitter(calls.delay * 3),
+        };
+        tokio::time::sleep(wait).await;
+        calls.delay = (calls.delay * 2).min(MAX_RETRY_DELAY);
     }
 }
 
--- a/crates/entry/src/process/settings.rs
+++ b/crates/entry/src/process/settings.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use bamboocourse_decide::{DomainId, RetryLimit, VmId};
+use bamboocourse_decide::{DomainId, FeedTimes, RetryLimit, VmId};
 
 /// The settings of one entry VM on a platform.
 #[derive(Debug, Clone, PartialEq)]
@@ -55,6 +55,8 @@
     pub load_excess: f64,
     /// The longest row that the store accepts, in bytes.
     pub row_limit: usize,
+    /// The times in which VMs learn what is new in the store.
+    pub feed: FeedTimes,
     /// How long vanished endpoints are kept after the store has recovered from an outage.
     pub removal_delay: Duration,
 }
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -21,7 +21,7 @@
 use crate::process::coordinator::{Coordinator, CoordinatorEvent, Handles};
 use crate::process::crashes::Crashes;
 use crate::process::endpoint_list::EndpointList;
-use crate::process::follow::{self, Sink};
+use crate::process::follow::{Sink, TableFollower};
 use crate::process::freshness::Freshness;
 use crate::process::link::{self, LeaderLink, PeerServices};
 use crate::process::metrics::Metrics;
@@ -167,9 +167,16 @@
             tasks.spawn(status::accept(listener, StatusPage::Metrics(metrics.clone())));
         }
         let config = Sink::Config(active_fleet);
-        for sink in [config, Sink::Endpoints(endpoint_list)] {
-            let (store, roster, metrics) = (store.clone(), roster.clone(), metrics.clone());
-            tasks.spawn(follow::follow(store, sink, roster, freshness.clone(), metrics));
+        for sink in [config, Sink::Endpoints(endpoint_list.clone())] {
+            let follower = TableFollower {
+                store: store.clone(),
+                sink,
+                list: endpoint_list.clone(),
+                roster: roster.clone(),
+                freshness: freshness.clone(),
+                metrics: metrics.clone(),
+            };
+            tasks.spawn(follower.run(settings.bounds.feed));
         }
         tasks.spawn(Coordinator::new(handles, life).run(event_receiver));
         let services = PeerServices {
