VMs pass on how old what they know is, instead of whether they are in contact

Cause: each hop counted from its own last message. A leader called itself in contact for 1.1 s after a call for the lease was answered, which says nothing about its feeds; each reply in that time made a relay rely on it for 1.0 s more, and a relay's members for 2 to 3 s after that. Change: a reply says how old the sender's copies of the two tables are; the receiver counts that from when it sent its report (TableAge, FeedTimes). The flag current and StoreContact are gone. A relay calls the store itself once the leader's copy is older than 3/5 of the bound, a member after 4/5 to 9/10.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -84,7 +84,6 @@
 pub use process::roster::{Relay, RelayAppointer, Roster};
 pub use process::shutdown::ShutdownSchedule;
 pub use process::sliding_window::SlidingWindow;
-pub use process::store_contact::StoreContact;
 pub use process::store_position::{StoreEra, StorePosition};
 pub use process::table_age::{TableAge, TableSource};
 pub use process::table_feed::{FeedCall, FeedTimes, Follower, TableFeed};
--- a/crates/decide/src/process/mod.rs
+++ b/crates/decide/src/process/mod.rs
@@ -10,7 +10,6 @@
 pub(crate) mod roster;
 pub(crate) mod shutdown;
 pub(crate) mod sliding_window;
-pub(crate) mod store_contact;
 pub(crate) mod store_position;
 pub(crate) mod table_age;
 pub(crate) mod table_feed;
--- a/crates/decide/src/process/table_feed.rs
+++ b/crates/decide/src/process/table_feed.rs
@@ -61,6 +61,38 @@
     }
 }
 
+impl FeedTimes {
+    /// Returns whether another VM tells this one what is new, so that it need not ask the store.
+    ///
+    /// `jitter` is this VM's part of [`jitter`](Self::jitter).
+    ///
+    /// ```
+    /// use bamboocourse_decide::{FeedTimes, Follower, TableAge, TableSource};
+    /// use std::time::Duration;
+    /// let times = FeedTimes::within(Duration::from_secs(2));
+    /// let mut age = TableAge::default();
+    /// age.on_told(TableSource::Leader, Duration::from_secs(5));
+    /// let is_told = |millis| {
+    ///     let now = Duration::from_millis(millis);
+    ///     times.is_told(Follower::Relay, &age, Duration::ZERO, now)
+    /// };
+    /// assert!(is_told(6_000) && !is_told(6_300));
+    /// ```
+    pub fn is_told(
+        &self,
+        follower: Follower,
+        age: &TableAge,
+        jitter: Duration,
+        now: Duration,
+    ) -> bool {
+        let (source, limit) = match follower {
+            Follower::Relay => (TableSource::Leader, self.relay),
+            Follower::Member => (TableSource::Relay, self.member + jitter),
+        };
+        age.known_until(source).is_some_and(|at| now < at + limit)
+    }
+}
+
 /// One call to the store for what is new in a table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FeedCall {
@@ -88,23 +120,6 @@
         Self { times, grace: times.grace, answered: None }
     }
 
-    /// Returns whether another VM tells this one what is new, so that it need not ask the store.
-    ///
-    /// `jitter` is this VM's part of [`FeedTimes::jitter`].
-    pub fn is_told(
-        &self,
-        follower: Follower,
-        age: &TableAge,
-        jitter: Duration,
-        now: Duration,
-    ) -> bool {
-        let told = |source, limit| age.known_until(source).is_some_and(|at| now < at + limit);
-        match follower {
-            Follower::Relay => told(TableSource::Leader, self.times.relay),
-            Follower::Member => told(TableSource::Relay, self.times.member + jitter),
-        }
-    }
-
     /// Returns the next call; `told` says whether another VM tells what is new as well.
     ///
     /// After a call without an answer, the next one does not wait for changes, so that it shows soon
--- a/crates/entry/src/process/coordinator/lease.rs
+++ b/crates/entry/src/process/coordinator/lease.rs
@@ -111,7 +111,6 @@
 
     /// Records that the store has answered a call for the lease's row.
     fn on_store_response(&mut self, now: Duration) {
-        self.handles.endpoint_list.on_store_response();
         if let Some(since) = self.store_silent.take() {
             let freshness = &self.handles.freshness;
             info!(failed_ms = now.saturating_sub(since).as_millis() as u64,
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -27,7 +27,7 @@
 
 use crate::edge::clock::boot_now;
 use crate::edge::pool::Pool;
-use crate::edge::{Protocol, Store, StoreError, StoreRows, WriteOutcome};
+use crate::edge::{Protocol, Store, StoreError, StoreRows, Table, WriteOutcome};
 use crate::process::active_fleet::ActiveFleet;
 use crate::process::crashes::Crashes;
 use crate::process::endpoint_list::{EndpointList, ListEntry, ListUpdate};
@@ -128,6 +128,14 @@
     pub(crate) events: mpsc::UnboundedSender<CoordinatorEvent>,
 }
 
+impl Handles {
+    /// Says in a reply how old this VM's copies of the store's tables are.
+    fn set_ages(&self, reply: &mut LeadMessage) {
+        reply.config_age = self.freshness.age_ms(Table::Operator);
+        reply.list_age = self.freshness.age_ms(Table::Endpoints);
+    }
+}
+
 /// The state of the coordinator's task.
 pub(crate) struct Coordinator {
     handles: Handles,
@@ -507,7 +515,8 @@
         reply.sent = status.sent;
         reply.vms = self.handles.quotas.vms() as u32;
         reply.funded = self.handles.quotas.can_grant();
-        reply.current = self.is_current();
+        self.handles.set_ages(&mut reply);
+        self.log_current(&reply);
         self.handles.crashes.answer_asks(status, self.leads_now(now), &mut reply);
         self.handles.crashes.tell(&mut reply);
         reply.permits = self.handles.scheduler.on_member_wants(status);
@@ -521,16 +530,16 @@
         reply
     }
 
-    /// Returns whether members may rely on this relay for what is new in the store.
-    fn is_current(&mut self) -> bool {
-        let current = self.handles.endpoint_list.is_current();
+    /// Logs whether members may rely on this relay for what is new in the store, if that has changed.
+    fn log_current(&mut self, reply: &LeadMessage) {
+        let limit = self.handles.settings.bounds.feed.member.as_millis() as u64;
+        let is_current = |age: Option<u64>| age.is_some_and(|age| age < limit);
+        let current = is_current(reply.config_age) && is_current(reply.list_age);
         if self.told_current.replace(current) != Some(current) {
-            let (relayed, responded) = self.handles.endpoint_list.contact_ages();
-            info!(current, relayed_ms = relayed, responded_ms = responded,
+            info!(current, config_ms = reply.config_age, list_ms = reply.list_age,
                 leading = self.leadership.is_some();
                 "whether members may rely on this relay has changed");
         }
-        current
     }
 
     /// Answers a VM that looks for a relay; it may become one itself.
@@ -549,7 +558,6 @@
     /// Answers a relay, as the leader; a VM that does not lead replies with fence 0.
     fn answer_relay(&mut self, peer: PeerId, status: &Status, now: Duration) -> LeadMessage {
         let mut reply = self.store_updates(peer, status);
-        reply.current = self.handles.endpoint_list.is_leader_current();
         // A leader that was stopped may not know yet that another one issues permits.
         let in_term = self.leads_now(now);
         let Some(leadership) = &mut self.leadership else { return reply };
@@ -559,6 +567,7 @@
             self.handles.roster.update(leadership.relays.roster());
         }
         leadership.members.insert(vm.clone(), (now, status.members));
+        self.handles.set_ages(&mut reply);
         reply.role = Role::Leader.into();
         reply.fence = leadership.fence;
         reply.sent = status.sent;
--- a/crates/entry/src/process/endpoint_list.rs
+++ b/crates/entry/src/process/endpoint_list.rs
@@ -4,9 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bamboocourse_decide::{
-    EndpointId, FastMap, FastSet, ListedPosition, StoreContact, StoreEra, StorePosition,
-};
+use bamboocourse_decide::{EndpointId, FastMap, FastSet, ListedPosition, StoreEra, StorePosition};
 use log::{info, warn};
 use tokio::sync::mpsc;
 
@@ -76,8 +74,6 @@
     removals_from: Duration,
     /// When this VM's last call for the list failed.
     failed: Duration,
-    /// When this VM last heard of the store, by itself or through the leader.
-    contact: StoreContact,
     /// The row's version at each endpoint's last change that the leader must relay.
     relays: FastMap<EndpointId, StorePosition>,
     /// The same, in the order of versions.
@@ -179,50 +175,14 @@
         ListUpdate { entries, version: state.version, told: state.told(), live, vanished }
     }
 
-    /// Records a reply of the leader; `current` says whether it relays all changes, and so that the
-    /// store responds.
-    pub(crate) fn on_relay(&self, current: bool) {
-        let now = boot_now();
-        let recovered = {
-            let mut state = self.state();
-            state.contact.on_relayed(now, current);
-            state.contact.shows_recovery(state.failed, now)
-        };
-        if recovered {
+    /// Records that the leader has told all changes until `at`, and so that the store answered it
+    /// then.
+    pub(crate) fn on_told(&self, at: Duration) {
+        if at > self.state().failed {
             self.on_recovery();
         }
     }
 
-    /// Returns whether relays may rely on this VM, the leader, for what is new in the store.
-    pub(crate) fn is_leader_current(&self) -> bool {
-        let state = self.state();
-        state.first_version.is_some() && state.contact.is_leader_current(boot_now())
-    }
-
-    /// Returns whether this VM relies on the leader for changes.
-    pub(crate) fn is_relayed(&self) -> bool {
-        self.state().contact.is_relayed(boot_now())
-    }
-
-    /// Returns whether what this VM knows is as new as the store's changes that reach VMs.
-    pub(crate) fn is_current(&self) -> bool {
-        let state = self.state();
-        state.first_version.is_some() && state.contact.is_current(boot_now())
-    }
-
-    /// Returns how long ago the leader last relayed changes and the store last responded, in
-    /// milliseconds; `None` if never.
-    pub(crate) fn contact_ages(&self) -> (Option<u64>, Option<u64>) {
-        let (relayed, responded) = self.state().contact.ages(boot_now());
-        let millis = |age: Duration| age.as_millis() as u64;
-        (relayed.map(millis), responded.map(millis))
-    }
-
-    /// Records that the store has responded to a call that does not wait for changes.
-    pub(crate) fn on_store_response(&self) {
-        self.state().contact.on_response(boot_now());
-    }
-
     /// Records that the store could not be reached.
     pub(crate) fn on_outage(&self) {
         let former = {
--- a/crates/entry/src/process/follow.rs
+++ b/crates/entry/src/process/follow.rs
@@ -73,23 +73,13 @@
         }
     }
 
-    /// Returns whether this VM relies on another one for the table's changes.
-    fn is_relayed(&self, roster: &RosterView) -> bool {
-        match self {
+    /// Returns whether a VM that is told the table's changes leaves it to others to read them.
+    fn is_left(&self, follower: Follower) -> bool {
+        match (self, follower) {
             // The configuration is large and rarely changes: for a relay, following the store is
             // cheaper than a message from another domain.
-            Sink::Config(_) => roster.is_relayed(),
-            Sink::Endpoints(list) => list.is_relayed() || roster.is_relayed(),
-        }
-    }
-
-    /// Returns whether another VM tells this one all changes of the table, even if it reads them from
-    /// the store as well.
-    fn is_told(&self, roster: &RosterView, list: &EndpointList) -> bool {
-        match self {
-            // A reply of the leader brings both tables.
-            Sink::Config(_) => list.is_relayed() || roster.is_relayed(),
-            Sink::Endpoints(_) => self.is_relayed(roster),
+            (Sink::Config(_), Follower::Relay) => false,
+            (Sink::Config(_), Follower::Member) | (Sink::Endpoints(_), _) => true,
         }
     }
 
@@ -133,10 +123,10 @@
 pub(crate) struct TableFollower {
     pub(crate) store: Arc<dyn Store>,
     pub(crate) sink: Sink,
-    pub(crate) list: Arc<EndpointList>,
     pub(crate) roster: Arc<RosterView>,
     pub(crate) freshness: Arc<Freshness>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) times: FeedTimes,
 }
 
 /// The state of a VM's own calls for a table.
@@ -156,9 +146,9 @@
     /// Follows the table for as long as the process lives.
     ///
     /// A VM that is no relay calls the store only while no relay tells what is new.
-    pub(crate) async fn run(self, times: FeedTimes) {
+    pub(crate) async fn run(self) {
         let mut calls = Calls {
-            feed: TableFeed::new(times),
+            feed: TableFeed::new(self.times),
             after: None,
             started: Instant::now(),
             delay: RETRY_DELAY,
@@ -167,15 +157,19 @@
         wait_for_relay(&self.sink, &self.roster).await;
         let mut reads = None;
         loop {
-            let is_relayed =
-                self.sink.version() > StorePosition::START && self.sink.is_relayed(&self.roster);
-            if reads.replace(!is_relayed) != Some(!is_relayed) {
-                info!(table:? = self.sink.table(), reads = !is_relayed,
-                    known:% = self.sink.version(), position:? = self.roster.position(),
-                    relay_age_ms = self.roster.relay_age();
+            let is_left = self.sink.version() > StorePosition::START
+                && self.sink.is_left(self.follower())
+                && self.is_told();
+            if reads.replace(!is_left) != Some(!is_left) {
+                let table = self.sink.table();
+                info!(table:?, reads = !is_left, known:% = self.sink.version(),
+                    position:? = self.roster.position(),
+                    store_ms = self.freshness.source_age_ms(table, TableSource::Store),
+                    leader_ms = self.freshness.source_age_ms(table, TableSource::Leader),
+                    relay_ms = self.freshness.source_age_ms(table, TableSource::Relay);
                     "the source of a table has changed");
             }
-            if is_relayed {
+            if is_left {
                 // What was relayed is known; the next call continues from there.
                 calls.after = calls.after.or(Some(StorePosition::START));
                 tokio::time::sleep(RELAY_CHECK_INTERVAL).await;
@@ -196,7 +190,7 @@
     /// Returns `None` if the call was given up as nobody else tells what is new any more.
     async fn call(&self, calls: &Calls) -> Option<Result<(StoreRows, bool), StoreError>> {
         let (table, began) = (self.sink.table(), boot_now());
-        let told = self.sink.is_told(&self.roster, &self.list);
+        let told = self.is_told();
         self.metrics.count_store_call(self.sink.call());
         self.freshness.set_called(table, Some(began));
         let answer = match calls.after {
@@ -237,11 +231,18 @@
 
     /// Waits until no other VM tells what is new.
     async fn untold(&self) {
-        while self.sink.is_told(&self.roster, &self.list) {
+        while self.is_told() {
             tokio::time::sleep(RELAY_CHECK_INTERVAL).await;
         }
     }
 
+    /// Returns whether another VM tells this one the table's changes.
+    fn is_told(&self) -> bool {
+        let age = self.freshness.age(self.sink.table());
+        let jitter = self.roster.jitter(self.times.jitter);
+        self.times.is_told(self.follower(), &age, jitter, boot_now())
+    }
+
     fn follower(&self) -> Follower {
         if self.roster.is_relay() { Follower::Relay } else { Follower::Member }
     }
--- a/crates/entry/src/process/freshness.rs
+++ b/crates/entry/src/process/freshness.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Returns until when a VM knows all changes of a table, by source.
+    pub(crate) fn age(&self, table: Table) -> TableAge {
+        self.copy(table).map(|copy| copy.age).unwrap_or_default()
+    }
+
     /// Returns how old a table's copy is, in milliseconds; `None` if there is none.
     pub(crate) fn age_ms(&self, table: Table) -> Option<u64> {
         millis_since(self.copy(table)?.age.newest())
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -19,13 +19,13 @@
 
 use crate::edge::budget::{ByteBudget, Reservation};
 use crate::edge::clock::boot_now;
-use crate::edge::{StoreRow, socket};
+use crate::edge::{StoreRow, Table, socket};
 use crate::process::active_fleet::ActiveFleet;
 use crate::process::asks::{Asks, RELAY_RETRY_DELAY, grant_message, permit_needs};
 use crate::process::coordinator::{CoordinatorEvent, PeerId};
 use crate::process::crashes::Crashes;
 use crate::process::endpoint_list::{EndpointList, ListEntry, ListUpdate};
-use crate::process::freshness::{COPIED_TABLES, Freshness};
+use crate::process::freshness::Freshness;
 use crate::process::metrics::Metrics;
 use crate::process::quotas::{Quotas, TokensRefused};
 use crate::process::roster::{Position, RosterView};
@@ -563,7 +563,6 @@
                     let _ = self.events.send(CoordinatorEvent::LinkMessage(open));
                     // Also of a leader that this VM knows from others than the lease's row.
                     if message.role() == Role::Leader && message.sent > 0 {
-                        self.endpoint_list.on_relay(message.current);
                         self.on_tables_told(&message, TableSource::Leader);
                     }
                     if message.clock > 0 {
@@ -705,11 +704,22 @@
         }
     }
 
-    /// Records that a reply told what is new in the store, if its sender is in contact with it.
+    /// Records until when a reply to this VM's report tells all changes of the store's tables.
+    ///
+    /// The reply was made after the report, so its sender's copy is as new as its age says at the time
+    /// of the report, or newer.
     fn on_tables_told(&self, message: &Lead, source: TableSource) {
-        if message.current {
-            for table in COPIED_TABLES {
-                self.freshness.on_told(table, source, boot_now());
+        if message.listed_position().era < self.endpoint_list.version().era {
+            // The sender has not heard of the store's era yet.
+            return;
+        }
+        let ages = [(Table::Operator, message.config_age), (Table::Endpoints, message.list_age)];
+        for (table, age) in ages {
+            let Some(age) = age else { continue };
+            let at = Duration::from_millis(message.sent.saturating_sub(age));
+            self.freshness.on_told(table, source, at);
+            if table == Table::Endpoints && source == TableSource::Leader {
+                self.endpoint_list.on_told(at);
             }
         }
     }
@@ -740,11 +750,7 @@
         let _ = self.events.send(CoordinatorEvent::RelayAlive);
         self.scheduler.on_leader_heard();
         if message.sent > 0 {
-            // A relay that is out of contact for a moment must not send all its members to the store.
-            if message.current {
-                self.roster.on_relayed();
-                self.on_tables_told(message, TableSource::Relay);
-            }
+            self.on_tables_told(message, TableSource::Relay);
             self.quotas.set_share(0, message.vms as usize, message.funded);
         }
         self.scheduler.on_leader_state(&message.held);
--- a/crates/entry/src/process/roster.rs
+++ b/crates/entry/src/process/roster.rs
@@ -33,19 +33,12 @@
 #[derive(Debug, Default)]
 struct State {
     roster: Roster,
-    /// The last time this VM relied on a relay.
-    relayed: Duration,
     /// Since when this VM's domain has lacked a relay.
     short_since: Option<Duration>,
 }
 
 /// How long a domain lacks a relay before its VMs offer themselves.
 const OFFER_DELAY: Duration = Duration::from_secs(10);
-/// How long after its relay's last message a member relies on relays for what the store tells; it
-/// finds another relay sooner if there is one.
-const RELAY_TIMEOUT: Duration = Duration::from_secs(2);
-/// The largest addition to a wait that differs from VM to VM.
-const MAX_JITTER: Duration = Duration::from_secs(1);
 
 impl RosterView {
     pub(crate) fn new(settings: Arc<EntrySettings>) -> Self {
@@ -152,11 +145,6 @@
         self.settings.seeds.iter().copied().filter(|seed| *seed != own).collect()
     }
 
-    /// Records that a relay told what is new in the store.
-    pub(crate) fn on_relayed(&self) {
-        self.state().relayed = boot_now();
-    }
-
     /// Returns where a relay looks for the leader if the VM that the lease's row names does not lead:
     /// the leader that the roster names, then the other relays, those of its domain first, of which
     /// one may know a newer roster.
@@ -169,20 +157,6 @@
         named.filter(|peer| *peer != self.settings.peer).collect()
     }
 
-    /// Returns whether this VM relies on a relay for what is new in the store.
-    pub(crate) fn is_relayed(&self) -> bool {
-        let relayed = self.state().relayed;
-        relayed > Duration::ZERO && boot_now() < relayed + RELAY_TIMEOUT + self.jitter(MAX_JITTER)
-    }
-
-    /// Returns how long ago a relay told what is new in the store, in milliseconds; `None` if none
-    /// has.
-    pub(crate) fn relay_age(&self) -> Option<u64> {
-        let relayed = self.state().relayed;
-        let age = boot_now().saturating_sub(relayed);
-        (!relayed.is_zero()).then_some(age.as_millis() as u64)
-    }
-
     /// Returns a part of `max` that differs from VM to VM and from process to process, so that many
     /// VMs do not act at the same moment.
     pub(crate) fn jitter(&self, max: Duration) -> Duration {
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -167,16 +167,16 @@
             tasks.spawn(status::accept(listener, StatusPage::Metrics(metrics.clone())));
         }
         let config = Sink::Config(active_fleet);
-        for sink in [config, Sink::Endpoints(endpoint_list.clone())] {
+        for sink in [config, Sink::Endpoints(endpoint_list)] {
             let follower = TableFollower {
                 store: store.clone(),
                 sink,
-                list: endpoint_list.clone(),
                 roster: roster.clone(),
                 freshness: freshness.clone(),
                 metrics: metrics.clone(),
+                times: settings.bounds.feed,
             };
-            tasks.spawn(follower.run(settings.bounds.feed));
+            tasks.spawn(follower.run());
         }
         tasks.spawn(Coordinator::new(handles, life).run(event_receiver));
         let services = PeerServices {
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -444,9 +444,13 @@
     /// Whether the receiver, a candidate, is a relay from now on.
     #[prost(bool, tag = "24")]
     pub appointed: bool,
-    /// Whether what a relay tells of the store is as new as the store's changes that reach VMs.
-    #[prost(bool, tag = "25")]
-    pub current: bool,
+    /// How old the sender's copy of the configuration is, in milliseconds: the time since the last moment
+    /// until which the sender knows all changes. Absent if the sender neither leads nor is a relay.
+    #[prost(uint64, optional, tag = "37")]
+    pub config_age: ::core::option::Option<u64>,
+    /// The same for the list of endpoints.
+    #[prost(uint64, optional, tag = "38")]
+    pub list_age: ::core::option::Option<u64>,
     /// The era of `config`.
     #[prost(uint64, tag = "26")]
     pub config_era: u64,
