An odd entry, row or setting costs itself, and neither the list nor the process

Reported by other operators: one odd entry among those of the servers ended the machines that read the list, or they stopped following it. Here, shown by tests that failed: remaining_ms of 1e30 panics in from_secs_f64, and the task that follows the list is gone for good; a row of another form fails the whole page, for as long as it is there; an entry whose id cannot be sent in a header is used, and its requests end with 400; a time of 1e300 in the settings panics at the start. By reading: sums of loads, counts and order numbers at the ends of their types (a panic in debug builds), a limit without end, a model with four billion adapters, cores without number. Frames between VMs have no such test. Nested entries and ports out of range were refused before, too: the parser bounds its depth.

--- a/crates/decide/src/process/placement/tracker.rs
+++ b/crates/decide/src/process/placement/tracker.rs
@@ -432,7 +432,8 @@
         let Some(pending) = &self.pending else { return false };
         // An unanswered order with the same number may have been accepted in its place.
         let rival = |late: &LateOrder| late.number == pending.number;
-        seq == pending.number + 1 && (pending.accepted || !self.late_orders.iter().any(rival))
+        Some(seq) == pending.number.checked_add(1)
+            && (pending.accepted || !self.late_orders.iter().any(rival))
     }
 
     /// Counts an order that the endpoint has accepted, and drops late orders whose number can no
--- a/crates/decide/src/process/request_limits/account.rs
+++ b/crates/decide/src/process/request_limits/account.rs
@@ -249,12 +249,16 @@
 /// Returns the sum of what VMs reported recently, and forgets the rest.
 pub(super) fn recent(reports: &mut FastMap<VmId, (u32, Duration)>, now: Duration) -> u32 {
     reports.retain(|_, (_, at)| now < *at + WAITING_TERM);
-    reports.values().map(|(count, _)| count).sum()
+    reports.values().fold(0, |sum: u32, (count, _)| sum.saturating_add(*count))
 }
 
+/// The highest rate at which permits are issued, per second: far above what any endpoint takes, and so low
+/// that sums of permits stay finite.
+const MAX_ISSUE_RATE: Rate = 1e9;
+
 /// Returns the rate at which permits are issued for a limit.
 pub(super) fn issue_rate(rate: Rate) -> Rate {
-    rate.max(MIN_ISSUE_RATE)
+    rate.clamp(MIN_ISSUE_RATE, MAX_ISSUE_RATE)
 }
 
 /// Returns how many permits may be issued at once.
--- a/crates/decide/src/process/request_limits/permits.rs
+++ b/crates/decide/src/process/request_limits/permits.rs
@@ -252,7 +252,7 @@
             let account = self.accounts.get(instance);
             waiting = waiting.max(account.map_or(0, |account| account.backlog(now)));
         }
-        Duration::from_secs_f64(f64::from(waiting + 1) / issue_rate(rate))
+        Duration::from_secs_f64((f64::from(waiting) + 1.0) / issue_rate(rate))
     }
 
     /// Returns this VM's report, with what has changed after the number `told`.
--- a/crates/decide/src/request/dispatch.rs
+++ b/crates/decide/src/request/dispatch.rs
@@ -800,7 +800,7 @@
     fn outstanding(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.reported_at).as_secs_f64() / MAX_LOAD_AGE.as_secs_f64();
         let weight = (1.0 - age).max(0.0);
-        let reported = f64::from(self.load.running + self.load.waiting) * weight;
+        let reported = f64::from(self.load.running.saturating_add(self.load.waiting)) * weight;
         (reported + f64::from(self.unreported.min(self.open))).max(f64::from(self.open))
     }
 
--- a/crates/decide/src/request/route.rs
+++ b/crates/decide/src/request/route.rs
@@ -307,7 +307,7 @@
 impl Backend {
     /// Estimates how many requests run or wait at the endpoint while `vms` VMs send to it.
     fn outstanding(&self, vms: f64) -> f64 {
-        let reported = f64::from(self.load.running + self.load.waiting);
+        let reported = f64::from(self.load.running.saturating_add(self.load.waiting));
         let unreported = f64::from(self.open) - f64::from(self.reported_open);
         (reported + unreported * vms).max(f64::from(self.open))
     }
--- a/crates/entry/src/process/coordinator/lease.rs
+++ b/crates/entry/src/process/coordinator/lease.rs
@@ -132,7 +132,7 @@
     ///
     /// The result is at most `latest`.
     fn to_local_time(&self, store: u64, latest: Duration) -> Duration {
-        let millis = store as i64 - self.clock_offset;
+        let millis = i64::try_from(store).unwrap_or(i64::MAX).saturating_sub(self.clock_offset);
         Duration::from_millis(millis.max(0) as u64).min(latest)
     }
 
