A refusal counts only if it answers this request; its connection is closed

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that ran, or these ran at a second server. Cause: the id was compared only where a response has one, and connections were kept after a refusal, also for the same request again, whose id would match. Change: a refusal without an id counts on a new connection only; a connection is closed after a refusal, also one of an order; a reply to an order that has a request's id is no reply.

--- a/crates/entry/src/edge/pool.rs
+++ b/crates/entry/src/edge/pool.rs
@@ -69,6 +69,8 @@
 struct Connection {
     sender: Sender,
     first_byte: FirstByte,
+    /// Whether it has carried a response before the current one.
+    reused: bool,
 }
 
 /// A connection without a request, and until when it is kept.
@@ -110,6 +112,12 @@
         Ok(bytes.freeze())
     }
 
+    /// Returns whether the connection carried another response before this one, of which the remote
+    /// end may write more.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.connection.reused
+    }
+
     /// Returns the connection to the pool; its response must have been read completely.
     ///
     /// `idle` is how long the remote end keeps the connection idle, if it says so.
@@ -122,7 +130,8 @@
         let kept = idle_connections.entry(self.address).or_default();
         if kept.len() < MAX_IDLE_CONNECTIONS {
             let until = Instant::now() + timeout;
-            kept.push(IdleConnection { connection: self.connection, until });
+            let connection = Connection { reused: true, ..self.connection };
+            kept.push(IdleConnection { connection, until });
         }
     }
 }
@@ -219,7 +228,7 @@
             .map_err(|error| SendError::NotSent(error.to_string()))?;
         // Errors of the connection reach the caller through the current request.
         tokio::spawn(connection);
-        Ok(Connection { sender, first_byte })
+        Ok(Connection { sender, first_byte, reused: false })
     }
 
     /// Takes an idle connection that is ready for a request, if there is one.
--- a/crates/entry/src/process/coordinator/orders.rs
+++ b/crates/entry/src/process/coordinator/orders.rs
@@ -147,7 +147,14 @@
             if connection.read_body(body, MAX_REPORT_BYTES).await.is_err() {
                 return OrderReply::Lost;
             }
-            connection.keep(None);
+            // An answer with the id of a request belongs to that request.
+            if line.protocol.read_response(&head).id.is_some() {
+                return OrderReply::Lost;
+            }
+            // A refusal must not be taken for the answer to what is sent next, if it is written again.
+            if head.status.is_success() {
+                connection.keep(None);
+            }
             line.protocol.read_order_reply(&head)
         }
         Err(SendError::NotSent(_) | SendError::Withheld) => OrderReply::NotSent,
--- a/crates/entry/src/request/send.rs
+++ b/crates/entry/src/request/send.rs
@@ -16,11 +16,6 @@
 use crate::edge::pool::{PooledConnection, SendError};
 use crate::process::scheduler::EndpointSlot;
 
-/// The largest body that is read from a response that says "not run", in bytes.
-const MAX_REJECTION_BYTES: usize = 64 << 10;
-/// How long reading the body of such a response may take; after that, the connection is closed
-/// instead of kept.
-const REJECTION_TIMEOUT: Duration = Duration::from_millis(50);
 /// How long a response may take before the request is sent to another endpoint, in tenths of the
 /// route's latency target.
 const HANG_TIMEOUT_TENTHS: u32 = 25;
@@ -162,7 +157,11 @@
             slot.on_load(load);
         }
         // A 421 may come from another endpoint that has the address now.
-        let is_other = parsed.id.as_ref().is_some_and(|id| *id != job.request.id);
+        let is_other = match &parsed.id {
+            Some(id) => *id != job.request.id,
+            // Nothing says that it is not the rest of an earlier response.
+            None => parsed.not_run && connection.is_reused(),
+        };
         let sent = (!is_other).then_some(sent);
         let wants_quiet = head.status != 421 && slot.on_head(&parsed, sent, &job.request.id);
         if is_other {
@@ -173,15 +172,9 @@
         }
         let idle = (!parsed.closes).then_some(parsed.idle_timeout);
         if parsed.not_run {
-            if let Ok(Ok(_)) = tokio::time::timeout(
-                REJECTION_TIMEOUT,
-                connection.read_body(body, MAX_REJECTION_BYTES),
-            )
-            .await
-                && let Some(idle) = idle
-            {
-                connection.keep(idle);
-            }
+            // The connection is closed: an endpoint that writes the refusal once more would have it taken
+            // for the answer to the next request, which may be this one again.
+            drop((body, connection));
             // 421: the endpoint lacks the model or adapter, or is not the expected endpoint.
             let missing = head.status == 421;
             let detail = format!("{} answered {} and did not run it", slot.name, head.status);
