What another endpoint answers in place of a stream's rest never reaches the caller

Reported by other operators: a stream had begun and broke off, the next server answered with an error, and clients found its text or its head in the middle of their stream, or the stream ended as if it were complete. Only an error's status was heeded. Change: the rest of a stream is a stream of events by its type, begins with an event, and has ids above those that were passed on, each above the one before; no line of a stream begins a response. Else the endpoint has failed, and the next one is asked or the stream ends broken. The last two hold for the first endpoint, too. A rest without any event is still a whole one: after a break behind the last event nothing else can be answered.

--- a/crates/entry/src/edge/mod.rs
+++ b/crates/entry/src/edge/mod.rs
@@ -293,6 +293,12 @@
     pub blocks: usize,
     /// The id of the last whole event that has an id; `None` if no event has one.
     pub last_id: Option<u64>,
+    /// The id of the first of them.
+    pub first_id: Option<u64>,
+    /// Whether an id is not above the one before.
+    pub falls: bool,
+    /// The length of the blocks without an id before the first event, in bytes.
+    pub leading: usize,
 }
 
 /// Returns the name of a model or `MODEL/ADAPTER` for logs; empty without a target.
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -13,7 +13,8 @@
 use bamboocourse_decide::{Arrivals, EndpointId, ErrorKind, SOUND_STREAM_TIME, SendOutcome};
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::HeaderMap;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use tokio::time::Instant;
@@ -22,8 +23,8 @@
 use super::send::{EndpointResponse, SendResult};
 use super::trace::Trace;
 use super::{Body, Job, Pipeline};
-use crate::edge::Protocol;
 use crate::edge::pool::PooledConnection;
+use crate::edge::{EventSpan, Protocol};
 use crate::process::scheduler::EndpointSlot;
 use crate::process::shutdown::Phase;
 
@@ -38,6 +39,11 @@
 /// The longest event, with all that comes before it without an id, in bytes.
 const MAX_EVENT_BYTES: usize = 64 << 10;
 
+/// How the head of a response begins; no line of an event does.
+const RESPONSE_START: &[u8] = b"HTTP/1.";
+/// The type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// A stream that is being relayed.
 pub(super) struct Relay {
     pipeline: Arc<Pipeline>,
@@ -67,6 +73,10 @@
     sound: bool,
     /// Whether the body has a length or chunks, which tell that it is complete.
     framed: bool,
+    /// The id of the last event that was read, here or from an earlier endpoint.
+    last_id: Option<u64>,
+    /// Whether it goes on with a stream of which the caller has a part.
+    resumed: bool,
 }
 
 /// The result of reading from the endpoint's stream.
@@ -100,7 +110,7 @@
     ) -> Self {
         let last_event = job.request.last_event;
         let tried = vec![response.slot.name.clone()];
-        let source = Some(Source::new(response));
+        let source = Some(Source::new(response, last_event, false));
         Self { pipeline, job, trace, source, last_event, runs: 1, tried }
     }
 
@@ -259,11 +269,12 @@
             match result {
                 SendResult::Response(response) => {
                     self.runs += 1;
-                    if response.head.status.is_success() {
-                        self.source = Some(Source::new(*response));
+                    if response.head.status.is_success() && is_event_stream(&response.head.headers)
+                    {
+                        self.source = Some(Source::new(*response, self.last_event, true));
                         return Resumed::Moved;
                     }
-                    self.trace.note("endpoint failed");
+                    self.trace.note("endpoint does not go on with the stream");
                 }
                 SendResult::NotRun(_) | SendResult::NotSent(_) => rejections += 1,
                 SendResult::NotYet(_) => {
@@ -293,12 +304,23 @@
 }
 
 impl Source {
-    fn new(response: EndpointResponse) -> Self {
+    fn new(response: EndpointResponse, last_id: Option<u64>, resumed: bool) -> Self {
         let EndpointResponse { head, body, connection, idle, slot, .. } = response;
         let framed =
             [TRANSFER_ENCODING, CONTENT_LENGTH].iter().any(|name| head.headers.contains_key(name));
         let (partial, first_event) = (BytesMut::new(), None);
-        Self { body, connection, idle, slot, partial, first_event, sound: false, framed }
+        Self {
+            body,
+            connection,
+            idle,
+            slot,
+            partial,
+            first_event,
+            sound: false,
+            framed,
+            last_id,
+            resumed,
+        }
     }
 
     /// Returns how far the stream is at this endpoint.
@@ -306,6 +328,21 @@
         self.first_event.map_or(Progress::Begun, Progress::Streaming)
     }
 
+    /// Returns why the whole events that have been received are not the next ones of the stream, if they
+    /// are not.
+    fn fault(&self, span: &EventSpan) -> Option<&'static str> {
+        let is_next = |id: u64| self.last_id.is_none_or(|last| id > last);
+        if span.falls || span.first_id.is_some_and(|id| !is_next(id)) {
+            return Some("events that were passed on already");
+        }
+        let begins = self.resumed && self.first_event.is_none();
+        if begins && span.leading > 0 {
+            return Some("other text in place of the stream's rest");
+        }
+        let mut lines = self.partial[..span.blocks].split(|byte| *byte == b'\n');
+        lines.any(|line| line.starts_with(RESPONSE_START)).then_some("a head within the stream")
+    }
+
     /// Reads until there are whole events or the stream ends; nothing is lost if this is canceled.
     async fn read(&mut self, protocol: &dyn Protocol) -> Chunk {
         loop {
@@ -322,13 +359,20 @@
                     if blocks < self.partial.len() {
                         return Chunk::Broken("stream ended within an event");
                     }
+                    if self.resumed && self.first_event.is_none() {
+                        return Chunk::Broken("other text in place of the stream's rest");
+                    }
                     return Chunk::Events(self.partial.split().freeze(), None);
                 }
             };
             let Some(data) = frame.data_ref() else { continue };
             self.partial.extend_from_slice(data);
             let span = protocol.read_events(&self.partial);
+            if let Some(why) = self.fault(&span) {
+                return Chunk::Broken(why);
+            }
             if span.bytes > 0 {
+                self.last_id = span.last_id;
                 return Chunk::Events(self.partial.split_to(span.bytes).freeze(), span.last_id);
             }
             if self.partial.len() > MAX_EVENT_BYTES {
@@ -337,3 +381,9 @@
         }
     }
 }
+
+/// Returns whether a response with these headers is a stream of events.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(CONTENT_TYPE).and_then(|kind| kind.to_str().ok()).unwrap_or_default();
+    kind.split(';').next().unwrap_or_default().trim().eq_ignore_ascii_case(EVENT_STREAM)
+}
