A VM that comes back to the store, alone, leads when it may, not at its next read

Trace, of a play with logs: the configuration and the list are there after 0.07 s, the lease's row is read after 0.07 to 0.9 s; 3.1 s later the absent row may be claimed, and the VM, which is no relay yet, reads it again only every 0.7 to 1.7 s: 3.7 to 4.9 s in all, beside up to 4 s of a follower's own delay after failures. Change: the row is read again when the term of whoever may hold the lease has ended, where no relay is known that would; a follower's delay ends when the store answers for the lease, and the lease's when the list can be followed.

--- a/crates/decide/src/process/placement/lease.rs
+++ b/crates/decide/src/process/placement/lease.rs
@@ -191,6 +191,25 @@
         }
     }
 
+    /// Returns when this VM may claim the lease unless the row changes: the term of whoever may hold it
+    /// has ended by then. `None` before the first read, and while this VM leads.
+    ///
+    /// ```
+    /// use bamboocourse_decide::{LEASE_MARGIN, LEASE_TERM, Lease, LeaseEvent, StorePosition};
+    /// use std::time::Duration;
+    /// let mut lease = Lease::new("vm-1".into(), 1);
+    /// assert_eq!(lease.claimable_at(), None);
+    /// let now = Duration::from_secs(5);
+    /// lease.handle(LeaseEvent::Read(StorePosition::new(2, 0), None, now));
+    /// assert_eq!(lease.claimable_at(), Some(now + LEASE_TERM + LEASE_MARGIN));
+    /// ```
+    pub fn claimable_at(&self) -> Option<Duration> {
+        let machine = self.machine.inner();
+        let is_following = matches!(self.machine.state(), State::Following {});
+        let seen = machine.seen.as_ref().filter(|_| is_following)?;
+        Some(seen.changed + machine.terms.term + machine.terms.margin)
+    }
+
     /// Returns whether this VM led until the era changed and may claim the lease at once, as no
     /// other VM can have led since.
     pub fn may_resume(&self, now: Duration) -> bool {
--- a/crates/entry/src/process/coordinator/lease.rs
+++ b/crates/entry/src/process/coordinator/lease.rs
@@ -113,6 +113,7 @@
     fn on_store_response(&mut self, now: Duration) {
         if let Some(since) = self.store_silent.take() {
             let freshness = &self.handles.freshness;
+            freshness.on_store_back();
             info!(failed_ms = now.saturating_sub(since).as_millis() as u64,
                 leading = self.leadership.is_some(),
                 config_ms = freshness.age_ms(Table::Operator),
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -89,6 +89,8 @@
     LinkMessage(OpenMessage),
     /// The feed of the list of endpoints has ended: the store is away, for a moment or longer.
     StoreLost,
+    /// The list of endpoints can be followed again.
+    StoreBack,
     /// An endpoint's entry in the list of endpoints changed.
     EndpointChanged(EndpointId),
     /// The leader sent a message, with the version of the lease's row that it wrote last.
@@ -342,6 +344,8 @@
                     leadership.last_attempt = Duration::ZERO;
                 }
             }
+            // Without a leader, the lease's row is read with the next tick.
+            CoordinatorEvent::StoreBack => self.last_read = Duration::ZERO,
             CoordinatorEvent::EndpointChanged(name) => self.on_endpoint_changed(&name, now),
             CoordinatorEvent::LeaderAlive(fence, position) => {
                 self.on_era(position.era, "the leader", now);
@@ -418,7 +422,7 @@
             }
             Some(_) => {}
             None if now >= self.leader_heard + LEADER_TIMEOUT
-                && now >= self.last_read + self.read_interval() =>
+                && (now >= self.last_read + self.read_interval() || self.may_claim_alone(now)) =>
             {
                 self.read_lease(now)
             }
@@ -426,6 +430,14 @@
         }
     }
 
+    /// Returns whether this VM may claim the lease since its last read of the row, and knows no relay that
+    /// would: VMs that are no relays read the row rarely.
+    fn may_claim_alone(&self, now: Duration) -> bool {
+        let is_due = |at: Duration| self.last_read < at && at <= now;
+        self.lease.claimable_at().is_some_and(is_due)
+            && self.handles.roster.roster().relays.is_empty()
+    }
+
     /// Applies a new configuration and the listed endpoints to the leader's state.
     fn apply_config(&mut self, now: Duration) {
         let (Some(leadership), Some(fleet)) =
--- a/crates/entry/src/process/endpoint_list.rs
+++ b/crates/entry/src/process/endpoint_list.rs
@@ -201,6 +201,8 @@
         let mut state = self.state();
         if state.removals_from == Duration::MAX {
             state.removals_from = boot_now() + self.removal_delay;
+            // The receiver is gone only while the process shuts down.
+            let _ = self.events.send(CoordinatorEvent::StoreBack);
         }
     }
 
--- a/crates/entry/src/process/follow.rs
+++ b/crates/entry/src/process/follow.rs
@@ -297,7 +297,7 @@
             Follower::Relay => calls.delay,
             Follower::Member => calls.delay + self.roster.jitter(calls.delay * 3),
         };
-        tokio::time::sleep(wait).await;
+        self.freshness.wait_retry(wait).await;
         calls.delay = (calls.delay * 2).min(MAX_RETRY_DELAY);
     }
 }
--- a/crates/entry/src/process/freshness.rs
+++ b/crates/entry/src/process/freshness.rs
@@ -5,6 +5,8 @@
 
 use bamboocourse_decide::{TableAge, TableSource};
 
+use tokio::sync::Notify;
+
 use crate::edge::Table;
 use crate::edge::clock::boot_now;
 
@@ -16,6 +18,8 @@
 pub(crate) struct Freshness {
     operator: Mutex<Copy>,
     endpoints: Mutex<Copy>,
+    /// Notified when the store answers other calls again.
+    store_back: Notify,
 }
 
 /// This VM's copy of a table.
@@ -34,6 +38,17 @@
         }
     }
 
+    /// Tells those that wait after a failed call that the store answers other calls again.
+    pub(crate) fn on_store_back(&self) {
+        self.store_back.notify_waiters();
+    }
+
+    /// Waits after a failed call, but no longer than until the store answers other calls again.
+    pub(crate) async fn wait_retry(&self, delay: Duration) {
+        // The elapsed delay and the notification have the same meaning here.
+        let _ = tokio::time::timeout(delay, self.store_back.notified()).await;
+    }
+
     /// Records that a call to the store for a table begins, or that it has ended.
     pub(crate) fn set_called(&self, table: Table, called: Option<Duration>) {
         if let Some(mut copy) = self.copy(table) {
