A restarted VM does not take an absent row of the lease for an unused one, without an era either

Cause: in era 0 an absent row counted as never written, also when it was not the first start. Change: the settings say whether the system starts for the first time; a VM that starts later waits for a whole term (LeaseEvent::Restarted), and what it then takes over counts as a copy's. The test is refused its claim at the first read, which was granted without the event.

--- a/crates/decide/src/process/placement/lease.rs
+++ b/crates/decide/src/process/placement/lease.rs
@@ -82,6 +82,9 @@
     /// No leader can have existed before this VM's first read, so that the lease may be claimed at
     /// once if the row is absent, whatever the era.
     FirstStart,
+    /// A leader may have existed before this VM's first read, so that an absent row may have been lost,
+    /// also if the store does not say its era.
+    Restarted,
     /// Another VM or another answer of the store told of an era, at a time.
     EraChanged(StoreEra, Duration),
     /// Time has passed; the argument is the present time.
@@ -107,6 +110,7 @@
             Self::EraChanged(era, now) => Some((*era, *now)),
             Self::Settled(..)
             | Self::FirstStart
+            | Self::Restarted
             | Self::Tick(_)
             | Self::Resigned(_)
             | Self::Yield
@@ -150,6 +154,7 @@
             terms,
             era: None,
             first_start: false,
+            restarted: false,
             seen: None,
             until: Duration::ZERO,
             former_until: Duration::ZERO,
@@ -243,6 +248,8 @@
     era: Option<StoreEra>,
     /// Whether no leader can have existed before this VM's first read.
     first_start: bool,
+    /// Whether one may have, in whatever era.
+    restarted: bool,
     /// What was read last in this era.
     seen: Option<Seen>,
     /// When the term of the last renewal ends.
@@ -333,6 +340,10 @@
                 self.first_start = true;
                 Handled
             }
+            LeaseEvent::Restarted => {
+                self.restarted = true;
+                Handled
+            }
             LeaseEvent::Tick(_) => Handled,
             LeaseEvent::Release => Transition(State::released()),
         }
@@ -377,6 +388,7 @@
             }
             LeaseEvent::Tick(now) if *now >= self.until => Transition(State::following()),
             LeaseEvent::FirstStart
+            | LeaseEvent::Restarted
             | LeaseEvent::Tick(_)
             | LeaseEvent::Renewed(..)
             | LeaseEvent::Resigned(_) => Handled,
@@ -449,7 +461,7 @@
             // Without a row, there was no leader unless the store has lost the row.
             let unused = seen.row.is_none()
                 && self.heard == 0
-                && (seen.position.era == 0 || self.first_start);
+                && (self.first_start || (seen.position.era == 0 && !self.restarted));
             let resumes = now < self.former_until;
             return (unused || resumes || expired).then(|| self.next_fence(seen));
         };
--- a/crates/decide/tests/lease.rs
+++ b/crates/decide/tests/lease.rs
@@ -371,3 +371,16 @@
     let claim = lease.handle(LeaseEvent::Read(absent, None, expired)).expect("a claim");
     assert!(claim.row.fence > 8, "{claim:?}");
 }
+
+// A VM that starts again while the store neither has the row nor says its era may follow a leader that
+// it has not heard of (soak --seed 9047: an order under fence 1 after a higher one).
+#[test]
+fn absent_row_is_not_claimed_as_unused_after_a_restart() {
+    let at = |millis| Duration::from_millis(millis);
+    let absent = StorePosition::new(0, 0);
+    let mut lease = Lease::new("vm-1".into(), 2);
+    lease.handle(LeaseEvent::Restarted);
+    assert!(lease.handle(LeaseEvent::Read(absent, None, at(100))).is_none());
+    let expired = at(100) + LEASE_TERM * 2;
+    assert!(lease.handle(LeaseEvent::Read(absent, None, expired)).is_some());
+}
--- a/crates/entry/src/process/coordinator/lease.rs
+++ b/crates/entry/src/process/coordinator/lease.rs
@@ -428,7 +428,7 @@
         // The store may have lost what a former leader recorded, and even its row.
         let is_copy = match &former {
             Some(row) => row.era != era,
-            None => era > 0 && !self.lease.is_first_start(),
+            None => !self.lease.is_first_start(),
         };
         let settings = &self.handles.settings;
         let gap = settings.bounds.order_gap + ORDER_MARGIN;
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -248,9 +248,8 @@
     pub(crate) fn new(handles: Handles, life: Incarnation) -> Self {
         let terms = LeaseTerms { term: LEASE_TERM, margin: CLAIM_MARGIN };
         let mut lease = Lease::with_terms(handles.settings.vm.clone(), life, terms);
-        if handles.settings.first_start {
-            lease.handle(LeaseEvent::FirstStart);
-        }
+        let first_start = handles.settings.first_start;
+        lease.handle(if first_start { LeaseEvent::FirstStart } else { LeaseEvent::Restarted });
         Self {
             handles,
             lease,
