--- a/crates/decide/src/request/dispatch.rs
+++ b/crates/decide/src/request/dispatch.rs
@@ -348,7 +348,8 @@
         permit
     }
 
-    /// Returns whether a request may be written to an instance now. `permit` is what the request holds
+    /// Returns whether a request may be written to an instance now: it is listed as ready, neither leaves
+    /// nor wants quiet by its answers, and takes one more request. `permit` is what the request holds
     /// for the instance; it is replaced if it has lapsed.
     pub fn may_write(
         &mut self,
@@ -357,7 +358,9 @@
         permit: &mut Option<Permit>,
         now: Duration,
     ) -> bool {
-        if self.availability.check(name, instance, now) != Availability::Open {
+        let listed = self.endpoints.get(name).map(|endpoint| &endpoint.info);
+        let is_listed = listed.is_some_and(|info| info.ready && info.instance == instance);
+        if !is_listed || self.availability.check(name, instance, now) != Availability::Open {
             return false;
         }
         let instance = (name.clone(), instance);
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -209,3 +209,21 @@
     assert_eq!(["e1", "e2", "e3", "unknown"].map(leaving), [true, true, false, false]);
     assert!(!dispatcher.is_leaving(&"e1".into(), instance + 1), "it is another process");
 }
+
+// A request that was given its endpoint waits for a connection while the list changes (DRAIN).
+#[test]
+fn request_is_not_written_once_the_list_says_that_its_endpoint_leaves() {
+    let mut dispatcher = dispatcher(&["e1", "e2", "e3"]);
+    let may_write = |dispatcher: &mut Dispatcher, name: &str| {
+        dispatcher.may_write(&name.into(), 1, &mut None, NOW)
+    };
+    for name in ["e1", "e2", "e3"] {
+        assert!(may_write(&mut dispatcher, name));
+    }
+    dispatcher.upsert(&"e1".into(), EndpointInfo { ready: false, ..info() });
+    dispatcher.upsert(&"e2".into(), EndpointInfo { instance: 2, ..info() });
+    dispatcher.remove(&"e3".into());
+    for name in ["e1", "e2", "e3"] {
+        assert!(!may_write(&mut dispatcher, name), "{name}");
+    }
+}
