--- a/crates/decide/src/process/table_feed.rs
+++ b/crates/decide/src/process/table_feed.rs
@@ -14,6 +14,8 @@
 const TOLD_WAIT: Duration = Duration::from_secs(25);
 /// How long a call may take beyond its wait at the most; a slow store takes some hundred ms.
 const MAX_GRACE: Duration = Duration::from_millis(1_200);
+/// The shortest time in which changes can apply on every VM: two reports and a few calls to the store.
+const MIN_BOUND: Duration = Duration::from_millis(800);
 /// The factor by which VMs that are no relays wait longer in their feeds: there may be hundreds.
 const LONE_WAIT_FACTOR: u32 = 4;
 
@@ -42,7 +44,7 @@
 }
 
 impl FeedTimes {
-    /// Divides the time in which a change must apply.
+    /// Divides the time in which a change must apply; a very short one counts as one that can be kept.
     ///
     /// A dead feed is found after `wait + grace`, a leader without contact after `relay`. What remains
     /// is for the answer of the store, and for a report of a relay and of a member.
@@ -55,13 +57,12 @@
     /// assert!(times.relay < times.member && times.member + times.jitter < Duration::from_secs(2));
     /// ```
     pub fn within(bound: Duration) -> Self {
+        let bound = bound.max(MIN_BOUND);
         let wait = bound / 4;
         let grace = (bound / 4).min(MAX_GRACE);
         Self { wait, grace, relay: bound * 3 / 5, member: bound * 4 / 5, jitter: bound / 10 }
     }
-}
 
-impl FeedTimes {
     /// Returns whether another VM tells this one what is new, so that it need not ask the store.
     ///
     /// `jitter` is this VM's part of [`jitter`](Self::jitter).
@@ -100,7 +101,7 @@
     pub wait: Duration,
     /// How long the answer may take beyond `wait`.
     pub grace: Duration,
-    /// Whether to give the call up once nobody else tells what is new any more.
+    /// Whether another VM tells what is new as well; the call is given up once none does.
     pub told: bool,
 }
 
--- a/crates/decide/tests/table_feed.rs
+++ b/crates/decide/tests/table_feed.rs
@@ -357,3 +357,10 @@
         }
     }
 }
+
+// Settings without a usable bound must not make feeds that never wait.
+#[test]
+fn very_short_bound_leaves_feeds_time_to_wait() {
+    let times = FeedTimes::within(Duration::ZERO);
+    assert!(times.wait >= at(100) && times.grace >= at(100));
+}
--- a/crates/entry/src/process/freshness.rs
+++ b/crates/entry/src/process/freshness.rs
@@ -16,15 +16,15 @@
 /// How new this VM's copies of the tables are, and since when its own calls for them are open.
 #[derive(Debug, Default)]
 pub(crate) struct Freshness {
-    operator: Mutex<Copy>,
-    endpoints: Mutex<Copy>,
+    operator: Mutex<TableCopy>,
+    endpoints: Mutex<TableCopy>,
     /// Notified when the store answers other calls again.
     store_back: Notify,
 }
 
 /// This VM's copy of a table.
 #[derive(Debug, Default)]
-struct Copy {
+struct TableCopy {
     age: TableAge,
     /// When the call that is in progress began.
     called: Option<Duration>,
@@ -76,7 +76,7 @@
         millis_since(self.copy(table)?.called)
     }
 
-    fn copy(&self, table: Table) -> Option<MutexGuard<'_, Copy>> {
+    fn copy(&self, table: Table) -> Option<MutexGuard<'_, TableCopy>> {
         let copy = match table {
             Table::Operator => &self.operator,
             Table::Endpoints => &self.endpoints,
