A reply with older news than a failed call does not show that the store is back: its test again

It is a decision of TableAge again, and the case is back, exact instead of by a margin. No behaviour changes.

--- a/crates/decide/src/process/table_age.rs
+++ b/crates/decide/src/process/table_age.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Returns whether the store has answered the leader since a call of this VM failed.
+    pub fn shows_recovery(&self, failed: Duration) -> bool {
+        self.leader.is_some_and(|at| at > failed)
+    }
+
     /// Returns until when all changes are known, by any source.
     pub fn newest(&self) -> Option<Duration> {
         self.store.max(self.leader).max(self.relay)
--- a/crates/decide/tests/table_feed.rs
+++ b/crates/decide/tests/table_feed.rs
@@ -364,3 +364,16 @@
     let times = FeedTimes::within(Duration::ZERO);
     assert!(times.wait >= at(100) && times.grace >= at(100));
 }
+
+// The leader's copy may be older than the failure of this VM's call.
+#[test]
+fn reply_soon_after_a_failure_does_not_show_that_the_store_is_back() {
+    let mut relay = TableAge::default();
+    assert!(!relay.shows_recovery(at(10_000)));
+    relay.on_told(TableSource::Leader, at(9_800));
+    relay.on_told(TableSource::Store, at(10_100));
+    assert!(!relay.shows_recovery(at(10_000)), "the reply arrives later, its news is older");
+    relay.on_told(TableSource::Leader, at(12_200));
+    assert!(relay.shows_recovery(at(10_000)));
+    assert!(!relay.shows_recovery(at(12_300)), "another call has failed since");
+}
--- a/crates/entry/src/process/endpoint_list.rs
+++ b/crates/entry/src/process/endpoint_list.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bamboocourse_decide::{EndpointId, FastMap, FastSet, ListedPosition, StoreEra, StorePosition};
+use bamboocourse_decide::{
+    EndpointId, FastMap, FastSet, ListedPosition, StoreEra, StorePosition, TableAge,
+};
 use log::{info, warn};
 use tokio::sync::mpsc;
 
@@ -175,10 +177,9 @@
         ListUpdate { entries, version: state.version, told: state.told(), live, vanished }
     }
 
-    /// Records that the leader has told all changes until `at`, and so that the store answered it
-    /// then.
-    pub(crate) fn on_told(&self, at: Duration) {
-        if at > self.state().failed {
+    /// Records what the leader has told of the list: it may show that the store is back.
+    pub(crate) fn on_told(&self, age: &TableAge) {
+        if age.shows_recovery(self.state().failed) {
             self.on_recovery();
         }
     }
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -719,7 +719,7 @@
             let at = Duration::from_millis(message.sent.saturating_sub(age));
             self.freshness.on_told(table, source, at);
             if table == Table::Endpoints && source == TableSource::Leader {
-                self.endpoint_list.on_told(at);
+                self.endpoint_list.on_told(&self.freshness.age(table));
             }
         }
     }
