--- a/crates/decide/tests/table_feed.rs
+++ b/crates/decide/tests/table_feed.rs
@@ -117,7 +117,7 @@
 
 /// How often a VM reports to its relay or the leader, in ms.
 const REPORT_INTERVAL: u64 = 250;
-/// The same of how often it checks whether it is told, in ms.
+/// The interval at which a VM checks whether to call the store itself, in ms.
 const CHECK_INTERVAL: u64 = 200;
 /// How long another VM may be silent before a member looks for another relay, in ms.
 const LINK_TIMEOUT: u64 = 1_300;
@@ -192,7 +192,7 @@
     }
 
     /// Advances the VM's own calls by a step; `reaches` says whether it can reach the store, and `left`
-    /// whether it makes none while it is told.
+    /// whether it makes none while another VM tells the changes.
     fn step(&mut self, times: &FeedTimes, now: u64, reaches: bool, changed: u64, left: bool) {
         let told = self.is_told(times, now);
         if let Some((call, began)) = self.call {
--- a/crates/entry/src/process/follow.rs
+++ b/crates/entry/src/process/follow.rs
@@ -73,7 +73,7 @@
         }
     }
 
-    /// Returns whether a VM that is told the table's changes leaves it to others to read them.
+    /// Returns whether a VM makes no calls for the table while another VM tells its changes.
     fn is_left(&self, follower: Follower) -> bool {
         match (self, follower) {
             // The configuration is large and rarely changes: for a relay, following the store is
