A VM takes its first weights by a list read after its start, not by an older one

Cause: a VM took its first weights two seconds after its start, and read the list of VMs for the second time at the same moment. Where the first came earlier, it went by the list of its first millisecond, which held only itself, and took every limit whole. Killed before its next renewal, it left the others nothing to admit with until it leaves the platform's list.

No bound was changed; the failing test also prints the weights now.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -203,7 +203,7 @@
         }
     }
 
-    /// Starts a killed VM again on the same addresses.
+    /// Starts a killed VM again on the same addresses, and lists it if the platform does not.
     ///
     /// Fails if the addresses are still in use after 5 seconds, or if the VM cannot start.
     pub async fn restart(&mut self, index: usize) -> std::io::Result<()> {
@@ -212,7 +212,9 @@
         loop {
             match launch(settings.clone()).await {
                 Ok(running) => {
-                    self.vms[index].running = Some(running);
+                    let vm = &mut self.vms[index];
+                    vm.running = Some(running);
+                    self.platform.add_vm(&vm.name, &domain_name(vm.domain), vm.settings.peer);
                     return Ok(());
                 }
                 // A killed runtime closes its listeners some time after `kill` returns.
--- a/crates/bench/tests/sessions.rs
+++ b/crates/bench/tests/sessions.rs
@@ -398,11 +398,46 @@
             return;
         }
         assert_eq!(response.status, 202, "{response:?}");
-        assert!(std::time::Instant::now() < deadline, "the job was not completed in time");
+        let rows = || session.fleet.platform.rows("limits/vm/");
+        let late = std::time::Instant::now() >= deadline;
+        assert!(!late, "the job was not completed in time; weights: {:?}", rows());
         tokio::time::sleep(Duration::from_millis(200)).await;
     }
 }
 
+/// A VM that starts before the platform lists the others must leave them their parts of the limits:
+/// if it is killed, they must go on admitting requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn first_vm_of_a_fleet_leaves_the_others_their_weights() {
+    let mut session = Session::start(|_| {}).await;
+    for vm in 0..3 {
+        session.fleet.kill(vm);
+        session.fleet.platform.remove_vm(&session.fleet.vms[vm].name);
+    }
+    session.fleet.publish(&[]).await.expect("the configuration is published");
+    // The second read of the list is answered after the VM first looks for its weights.
+    let delay = Duration::from_millis(150);
+    session.fleet.platform.set_faults(PlatformFaults { delay, ..Default::default() });
+    session.fleet.restart(0).await.expect("the VM starts");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for vm in 1..3 {
+        session.fleet.restart(vm).await.expect("the VM starts");
+    }
+    session.wait_for_response("tea-house", |response| response.status == 200).await;
+    session.fleet.platform.set_faults(PlatformFaults::default());
+    let rows = session.fleet.platform.rows("limits/vm/");
+    session.fleet.kill(0);
+    let key = Sample::key("tea-house");
+    let deadline = std::time::Instant::now() + Duration::from_secs(15);
+    while session.complete("without it", 1, &key, &Session::completion(1, false)).await.status
+        != 200
+    {
+        let late = std::time::Instant::now() >= deadline;
+        assert!(!late, "the other VMs got no tokens; rows before the kill: {rows:?}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// Callers' keys must not be forwarded to endpoints, whichever header carries the key.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn keys_are_not_forwarded_to_endpoints() {
--- a/crates/serve/src/process/peers.rs
+++ b/crates/serve/src/process/peers.rs
@@ -16,6 +16,7 @@
 
 use crate::edge::VmListing;
 use crate::edge::pool::connect;
+use crate::process::shares::START_DELAY;
 use crate::process::vm::AppState;
 use crate::wire::{Body, FrameCodec, Hello};
 
@@ -37,13 +38,22 @@
     hello: Hello,
     local: Option<IpAddr>,
     listed: RwLock<Arc<BTreeMap<VmId, VmListing>>>,
+    /// When the last read of the list that succeeded began, as a time since the process started.
+    read_at: Mutex<Option<Duration>>,
     links: Arc<Mutex<FastMap<VmId, mpsc::Sender<Body>>>>,
     bytes: Counter<u64>,
 }
 
 impl Peers {
     pub(crate) fn new(hello: Hello, local: Option<IpAddr>, bytes: Counter<u64>) -> Self {
-        Self { hello, local, listed: RwLock::default(), links: Arc::default(), bytes }
+        Self {
+            hello,
+            local,
+            listed: RwLock::default(),
+            read_at: Mutex::default(),
+            links: Arc::default(),
+            bytes,
+        }
     }
 
     /// Returns the platform's list as it was last read, including this VM.
@@ -51,6 +61,13 @@
         self.listed.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Returns whether the list was read [`START_DELAY`] after the start or later, so that VMs that
+    /// started at the same time are in it.
+    pub(crate) fn is_list_settled(&self) -> bool {
+        let read_at = *self.read_at.lock().unwrap_or_else(PoisonError::into_inner);
+        read_at.is_some_and(|at| at >= START_DELAY)
+    }
+
     /// Returns the listed VMs that are not leaving, by domain.
     pub(crate) fn domains(&self) -> BTreeMap<DomainId, Vec<VmId>> {
         let mut domains: BTreeMap<DomainId, Vec<VmId>> = BTreeMap::new();
@@ -93,20 +110,26 @@
         Arc::make_mut(&mut listed).insert(vm, listing);
     }
 
-    fn set_listed(&self, vms: Vec<VmListing>) {
+    /// Replaces the list by one whose read began at `read_at`.
+    fn set_listed(&self, vms: Vec<VmListing>, read_at: Duration) {
         let listed = vms.into_iter().map(|listing| (listing.vm.clone(), listing)).collect();
         *self.listed.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(listed);
+        *self.read_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(read_at);
     }
 }
 
 /// Reads the platform's list periodically; if a read fails, the last list stays.
 pub(crate) async fn follow_list(shared: Arc<AppState>) {
     loop {
+        let read_at = shared.now();
         if let Ok(vms) = shared.platform.vms().await {
-            shared.peers.set_listed(vms);
+            shared.peers.set_listed(vms, read_at);
         }
         let interval = LIST_INTERVAL_PER_VM * shared.peers.listed().len() as u32;
-        tokio::time::sleep(interval.max(MIN_LIST_INTERVAL)).await;
+        let interval = interval.max(MIN_LIST_INTERVAL);
+        let until_settled = START_DELAY.saturating_sub(shared.now());
+        let wait = if until_settled.is_zero() { interval } else { interval.min(until_settled) };
+        tokio::time::sleep(wait).await;
     }
 }
 
--- a/crates/serve/src/process/shares.rs
+++ b/crates/serve/src/process/shares.rs
@@ -25,8 +25,9 @@
 const STEP_INTERVAL: Duration = Duration::from_millis(500);
 /// How often the demand of all domains is read.
 const DEMAND_INTERVAL: Duration = Duration::from_secs(30);
-/// How long a new VM waits before it takes weights, so that it knows its peers by then.
-const START_DELAY: Duration = Duration::from_secs(2);
+/// How long after its start a new VM reads the list of VMs by which it takes its first weights, so
+/// that VMs that start at the same time leave each other their parts.
+pub(crate) const START_DELAY: Duration = Duration::from_secs(2);
 
 /// The stored demand of a domain, which its leader writes.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -54,16 +55,17 @@
             demand = rows;
             read_at = Some(now);
         }
+        // Asked before the targets are computed from the list.
+        let settled = shared.peers.is_list_settled();
         let targets = targets(&shared, &demand);
         set_lenders(&shared);
         if shared.is_draining() && !made_due {
             made_due = true;
             shares.make_due(now);
         }
-        if now < START_DELAY {
-            continue;
+        if settled {
+            step(&shared, &mut shares, &targets).await;
         }
-        step(&shared, &mut shares, &targets).await;
         let empty = shared.limits.status(now).iter().all(|account| account.weight == 0);
         if shared.is_draining() && empty {
             // `notify_one` also reaches a drain that starts to wait only later.
