A VM without a configuration waits for one before it plans its weights

A VM planned its weights two seconds after its start whether or not it knew any workspace, and its next plan came with the renewal ten seconds later: a configuration published four seconds after the start was answered 429 for another 7.1 s (new test, bound 5 s).

--- a/crates/bench/tests/sessions.rs
+++ b/crates/bench/tests/sessions.rs
@@ -438,6 +438,19 @@
     }
 }
 
+/// A VM that has no configuration yet when it may take weights must take them as soon as it has one,
+/// not at the next renewal.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn vms_with_a_late_configuration_serve_soon() {
+    let mut session = Session::start(|_| {}).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    session.publish(&[]).await;
+    let published = std::time::Instant::now();
+    session.wait_for_response("tea-house", |response| response.status == 200).await;
+    let elapsed = published.elapsed();
+    assert!(elapsed < Duration::from_secs(5), "requests were refused for {elapsed:?}");
+}
+
 /// Callers' keys must not be forwarded to endpoints, whichever header carries the key.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn keys_are_not_forwarded_to_endpoints() {
--- a/crates/serve/src/process/shares.rs
+++ b/crates/serve/src/process/shares.rs
@@ -56,7 +56,7 @@
             read_at = Some(now);
         }
         // Asked before the targets are computed from the list.
-        let settled = shared.peers.is_list_settled();
+        let settled = shared.peers.is_list_settled() && shared.config().is_some();
         let targets = targets(&shared, &demand);
         set_lenders(&shared);
         if shared.is_draining() && !made_due {
