A relay with few requests for a limited endpoint asks the leader for single permits

Cause: the leader issued permits ahead, to relays by their reports; where a request for the endpoint comes once in ten seconds, a permit lapses after five and blocks one of the three that may be open.

Change: a relay to which fewer than three requests for an instance come within the term of a permit asks the leader when a request is there (at most 100 ms, 20 asks a second), is issued none ahead, and gives unused ones back at once. While few permits are open, the leader keeps up to eight seconds of the limit, four at the most: open permits and these together are no more than before.

--- a/crates/decide/src/process/request_limits/account.rs
+++ b/crates/decide/src/process/request_limits/account.rs
@@ -1,5 +1,6 @@
 //! What a VM holds for one endpoint that names a limit: permits, and what is known of those of others.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::log::Rate;
@@ -16,6 +17,14 @@
 const MIN_BURST: f64 = 1.0;
 /// See [`MIN_BURST`].
 const SMALL_BURST: f64 = 2.0;
+/// The permits that may be issued at once while none is open, as the time in which the limit allows as
+/// many, and the most of them: requests that ask for single permits do not come evenly either.
+const IDLE_TIME: Duration = Duration::from_secs(8);
+/// See [`IDLE_TIME`].
+const MAX_IDLE_BURST: f64 = 4.0;
+/// A relay to which fewer requests for an instance come within the term of a permit asks for single
+/// permits: most of those issued ahead would lapse.
+const MIN_REQUESTS: usize = 3;
 /// The time for which a leader that begins to issue permits waits at the most, as those of its
 /// predecessor may still be used.
 const TAKEOVER_TIME: Duration = Duration::from_secs(1);
@@ -98,21 +107,21 @@
         Self { tokens: -open, filled: now }
     }
 
-    pub(super) fn fill(&mut self, rate: Rate, now: Duration) {
+    /// Adds what was due since the last time, up to `most`, and `returned` permits.
+    pub(super) fn fill(&mut self, rate: Rate, returned: u32, most: f64, now: Duration) {
         let time = now.saturating_sub(self.filled).as_secs_f64();
-        self.tokens = (self.tokens + rate * time).min(burst(rate));
+        self.tokens = (self.tokens + rate * time + f64::from(returned)).min(most);
         self.filled = now;
     }
 
     /// Returns whether a permit may be issued.
     pub(super) fn has_one(&mut self, rate: Rate, now: Duration) -> bool {
-        self.fill(rate, now);
+        self.fill(rate, 0, burst(rate), now);
         self.tokens >= 1.0
     }
 
     /// Takes up to `count` permits.
-    pub(super) fn take(&mut self, count: u32, rate: Rate, now: Duration) -> u32 {
-        self.fill(rate, now);
+    pub(super) fn take(&mut self, count: u32) -> u32 {
         let taken = count.min(self.tokens.max(0.0) as u32);
         self.tokens -= f64::from(taken);
         taken
@@ -135,6 +144,11 @@
     pub(super) wanted: FastMap<VmId, (u32, Duration)>,
     /// The permits of each relay that it has not reported as used or returned, and when it got the last.
     pub(super) open: FastMap<VmId, (u32, Duration)>,
+    /// The permits that each relay was issued as it asked for them, and has not reported as used or
+    /// returned.
+    pub(super) asked: FastMap<VmId, u32>,
+    /// When requests that come through this relay last looked for a permit.
+    pub(super) sought: VecDeque<Duration>,
     /// The waiting requests of the members, and when they were reported.
     pub(super) members: FastMap<VmId, (u32, Duration)>,
     /// The waiting requests of the relays that report to this leader, and when they were reported.
@@ -154,24 +168,70 @@
         self.lent.retain(|permit| now < permit.until + OPEN_TERM);
     }
 
-    /// Settles the permits that a relay has used or returned; returns how many are open at all relays, and
-    /// how many of those that this leader issued it has returned.
-    pub(super) fn settle_relay(&mut self, vm: &VmId, want: &Want, now: Duration) -> (u32, u32) {
+    /// Settles the permits that a relay has used or returned; returns how many of those that this leader
+    /// issued it has returned.
+    pub(super) fn settle_relay(&mut self, vm: &VmId, want: &Want, now: Duration) -> u32 {
         self.open.retain(|_, (_, at)| now < *at + OPEN_TERM);
-        let mut returned = 0;
-        if let Some((open, _)) = self.open.get_mut(vm) {
-            *open = open.saturating_sub(want.used);
-            returned = want.returned.min(*open);
-            *open -= returned;
+        let Some((open, _)) = self.open.get_mut(vm) else { return 0 };
+        *open = open.saturating_sub(want.used);
+        let returned = want.returned.min(*open);
+        *open -= returned;
+        returned
+    }
+
+    /// Returns how many permits are open at all relays.
+    pub(super) fn open(&mut self, now: Duration) -> u32 {
+        self.open.retain(|_, (_, at)| now < *at + OPEN_TERM);
+        self.open.values().map(|(open, _)| open).sum()
+    }
+
+    /// Adds what is due to the leader's bucket; returns how many permits may be issued now.
+    pub(super) fn fill(&mut self, rate: Rate, part: f64, returned: u32, now: Duration) -> u32 {
+        let open = self.open(now);
+        // Open permits and those that may be issued at once can all be used within one span.
+        let idle = (rate * part * IDLE_TIME.as_secs_f64()).min(MAX_IDLE_BURST);
+        let most = burst(rate * part).max(idle - f64::from(open));
+        self.bucket(rate, now).fill(rate * part, returned, most, now);
+        max_open(rate).saturating_sub(open)
+    }
+
+    /// Records that a request looks for a permit; returns whether so few do that this relay asks for single
+    /// ones.
+    pub(super) fn seek(&mut self, term: Duration, now: Duration) -> bool {
+        let is_thin = self.is_thin(term, now);
+        self.sought.push_back(now);
+        if self.sought.len() > MIN_REQUESTS {
+            self.sought.pop_front();
         }
-        (self.open.values().map(|(open, _)| open).sum(), returned)
+        is_thin
+    }
+
+    /// Counts the permits as returned that no request has used soon after they were issued.
+    pub(super) fn give_back(&mut self, term: Duration, now: Duration) {
+        let before = self.free.len();
+        self.free.retain(|permit| permit.until + MEMBER_TERM > now + term);
+        self.returned += (before - self.free.len()) as u32;
+    }
+
+    /// Returns whether few requests come through this relay.
+    pub(super) fn is_thin(&self, term: Duration, now: Duration) -> bool {
+        self.sought.len() < MIN_REQUESTS || self.sought.front().is_none_or(|at| now > *at + term)
     }
 
     /// Returns how many permits a relay wants for requests that do not wait, `most` at the most: it will
     /// have more like those that it sent elsewhere or by a permit.
     pub(super) fn want(&mut self, vm: &VmId, want: &Want, most: u32, now: Duration) -> u32 {
         self.wanted.retain(|_, (_, at)| now < *at + WANT_TERM);
-        let new = want.passed + want.used;
+        let mut used = want.used;
+        if let Some(asked) = self.asked.get_mut(vm) {
+            let settled = (*asked).min(want.used + want.returned);
+            used -= settled.min(used);
+            *asked -= settled;
+            if *asked == 0 {
+                self.asked.remove(vm);
+            }
+        }
+        let new = want.passed + used;
         if new > 0 {
             let (count, at) = self.wanted.entry(vm.clone()).or_default();
             (*count, *at) = ((*count + new).min(most), now);
--- a/crates/decide/src/process/request_limits/permits.rs
+++ b/crates/decide/src/process/request_limits/permits.rs
@@ -2,14 +2,13 @@
 //!
 //! A request to such an endpoint needs a permit. The leader issues permits at the rate of the limit, to
 //! the relays whose callers want them; relays pass them on to the requests of their members. A permit
-//! lapses soon, and one that was not used goes back with the next report. A relay that does not hear
-//! of the leader issues its own part, which the leader then leaves out.
+//! lapses soon, and one that was not used goes back with the next report. A relay to which few requests
+//! for an endpoint come asks for a permit when one comes, as one issued ahead would lapse. A relay that
+//! does not hear of the leader issues its own part, which the leader then leaves out.
 
 use std::time::Duration;
 
-use super::account::{
-    Account, MAX_WANTED, Permit, RelayPart, Want, burst, issue_rate, max_open, recent,
-};
+use super::account::{Account, Bucket, MAX_WANTED, Permit, RelayPart, Want, issue_rate, recent};
 use super::log::{
     LimitChange, LimitLog, LimitNumber, LimitStatement, NamedLimit, RaiseEvidence, Rate,
 };
@@ -19,6 +18,9 @@
 
 /// How long a permit of the leader is valid.
 const PERMIT_TERM: Duration = Duration::from_secs(5);
+/// The asks a second of one relay for single permits: at all relays together, the leader answers them in a
+/// small part of its time.
+const MAX_ASK_RATE: f64 = 20.0;
 /// The part of a limit that the leader's orders and requests for reports may take.
 const OWN_PART: f64 = 0.25;
 /// How long after its last report a relay's part is issued by the leader.
@@ -74,6 +76,8 @@
     heard: Duration,
     /// Whether this VM is a relay that hears of no leader.
     is_alone: bool,
+    /// What bounds the asks for single permits.
+    asks: Option<Bucket>,
     /// When each relay last reported to this leader.
     present: FastMap<VmId, Duration>,
 }
@@ -270,8 +274,14 @@
         }
         let mut wants = Vec::new();
         let log = &self.log;
+        let asks = !self.is_alone && self.role != PermitRole::Member;
         self.accounts.retain(|instance, account| {
             account.expire(now);
+            if asks && account.is_thin(PERMIT_TERM, now) {
+                // The next request asks for its permit.
+                account.passed = 0;
+                account.give_back(PERMIT_TERM, now);
+            }
             let own = waiting.get(instance).copied().unwrap_or_default();
             let want = Want {
                 waiting: (own + recent(&mut account.members, now))
@@ -329,15 +339,12 @@
             let account = self.accounts.entry(instance.clone()).or_default();
             account.relays.insert(vm.clone(), (want.waiting, now));
             let backlog = recent(&mut account.relays, now);
-            let (open, returned) = account.settle_relay(vm, &want, now);
-            let bucket = account.bucket(rate, now);
-            bucket.fill(rate * part, now);
-            bucket.tokens = (bucket.tokens + f64::from(returned)).min(burst(rate * part));
+            let returned = account.settle_relay(vm, &want, now);
+            let room = account.fill(rate, part, returned, now);
             let most = (rate / present).ceil() as u32;
             let wanted = account.want(vm, &want, most, now);
-            let room = max_open(rate).saturating_sub(open);
             let asked = (want.waiting + wanted).min(room);
-            let count = account.bucket(rate, now).take(asked, rate * part, now);
+            let count = account.bucket(rate, now).take(asked);
             account.on_issued(vm, count, want.waiting, now);
             if count > 0 || want.waiting > 0 {
                 let (instance, term) = (instance.clone(), PERMIT_TERM);
@@ -347,6 +354,58 @@
         issued
     }
 
+    /// Issues a permit to a relay that asks for one for a request that is there, as the leader; `None` while
+    /// requests wait for permits, which go first.
+    ///
+    /// ```
+    /// use bamboocourse_decide::{NamedLimit, PermitRole, RequestLimits};
+    /// use std::time::Duration;
+    /// let (e1, now) = (("e1".into(), 7), Duration::from_secs(5));
+    /// let mut leader = RequestLimits::default();
+    /// leader.set_role(PermitRole::Leader(1), now);
+    /// leader.on_answer(&e1, Some(NamedLimit::PerSecond(2.0)), now, now);
+    /// leader.issue(&"vm-1".into(), &[], now);
+    /// let later = now + Duration::from_secs(2);
+    /// leader.issue(&"vm-1".into(), &[], later);
+    /// assert!(leader.issue_one(&"vm-1".into(), &e1, later).is_some());
+    /// ```
+    pub fn issue_one(
+        &mut self,
+        vm: &VmId,
+        instance: &EndpointInstance,
+        now: Duration,
+    ) -> Option<IssuedPermits> {
+        let PermitRole::Leader(relays) = self.role else { return None };
+        let rate = issue_rate(self.log.rate(instance)?);
+        let part = self.present_part(relays, now);
+        let account = self.accounts.entry(instance.clone()).or_default();
+        let backlog = recent(&mut account.relays, now);
+        let room = account.fill(rate, part, 0, now);
+        if backlog > 0 || account.bucket(rate, now).take(room.min(1)) == 0 {
+            return None;
+        }
+        account.on_issued(vm, 1, 1, now);
+        *account.asked.entry(vm.clone()).or_default() += 1;
+        Some(IssuedPermits { instance: instance.clone(), count: 1, term: PERMIT_TERM, backlog })
+    }
+
+    /// Takes the right to one ask for a permit; `false` if this relay has asked as often as it may.
+    pub fn take_ask(&mut self, now: Duration) -> bool {
+        let asks = self.asks.get_or_insert(Bucket { tokens: MAX_ASK_RATE, filled: now });
+        asks.fill(MAX_ASK_RATE, 0, MAX_ASK_RATE, now);
+        asks.take(1) > 0
+    }
+
+    /// Records that a request which comes through this relay looks for a permit; returns whether the relay
+    /// asks the leader for one if none is at hand, as [`issue_one`](Self::issue_one) issues them.
+    pub fn seek(&mut self, instance: &EndpointInstance, now: Duration) -> bool {
+        if self.log.rate(instance).is_none() || self.role == PermitRole::Member {
+            return false;
+        }
+        let is_thin = self.accounts.entry(instance.clone()).or_default().seek(PERMIT_TERM, now);
+        is_thin && !self.is_alone
+    }
+
     /// Records what a VM wants that reports to this relay, and passes on permits to its requests that
     /// wait; returns these.
     pub fn on_member(
--- a/crates/decide/src/request/dispatch.rs
+++ b/crates/decide/src/request/dispatch.rs
@@ -11,7 +11,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::ids::{AdapterId, DomainId, EndpointId, ModelId, ServiceId};
+use crate::ids::{AdapterId, DomainId, EndpointId, ModelId, ServiceId, VmId};
 use crate::map::{FastMap, FastSet, hash_of};
 use crate::process::request_limits::account::Permit;
 use crate::process::request_limits::log::{LimitChange, NamedLimit, Rate};
@@ -410,6 +410,46 @@
         target: Option<ModelRef>,
         now: Duration,
     ) -> Option<IssuedPermits> {
+        let candidates = self.limited_candidates(service, target, now);
+        candidates.iter().find_map(|instance| self.limits.pass_on_one(instance, now))
+    }
+
+    /// Records that a request which comes through this relay looks for a permit; returns whether the relay
+    /// asks the leader for one, as none is at hand.
+    pub fn seek_permit(
+        &mut self,
+        service: &ServiceId,
+        target: Option<ModelRef>,
+        now: Duration,
+    ) -> bool {
+        let candidates = self.limited_candidates(service, target, now);
+        let mut asks = false;
+        for instance in &candidates {
+            asks |= self.limits.seek(instance, now);
+        }
+        asks && !candidates.iter().any(|instance| self.limits.is_open(instance, now))
+            && self.limits.take_ask(now)
+    }
+
+    /// Issues a permit to a relay that asks for one, as the leader.
+    pub fn issue_permit(
+        &mut self,
+        vm: &VmId,
+        service: &ServiceId,
+        target: Option<ModelRef>,
+        now: Duration,
+    ) -> Option<IssuedPermits> {
+        let candidates = self.limited_candidates(service, target, now);
+        candidates.iter().find_map(|instance| self.limits.issue_one(vm, instance, now))
+    }
+
+    /// Returns the instances with a limit that could take a request otherwise.
+    fn limited_candidates(
+        &mut self,
+        service: &ServiceId,
+        target: Option<ModelRef>,
+        now: Duration,
+    ) -> Vec<EndpointInstance> {
         self.limits.refresh(now);
         let needs = Requirements {
             service: service.clone(),
@@ -431,8 +471,7 @@
                     && self.availability.check(name, *instance, now) == Availability::Open
             })
         };
-        let candidates: Vec<_> = candidates.iter().filter(can_take).collect();
-        candidates.into_iter().find_map(|instance| self.limits.pass_on_one(instance, now))
+        candidates.iter().filter(can_take).cloned().collect()
     }
 
     /// Forgets what is no longer needed of limits.
--- a/crates/decide/tests/limit_fleet.rs
+++ b/crates/decide/tests/limit_fleet.rs
@@ -48,6 +48,21 @@
     Request,
     /// A member's ask for a request comes to its relay, with the time at which it was asked.
     Ask(usize, usize, Number, Duration),
+    /// A relay's ask for a request of a VM comes to the leader, and the leader's answer to it.
+    AskLeader {
+        leader: usize,
+        relay: usize,
+        vm: usize,
+        number: Number,
+        asked: [Duration; 2],
+    },
+    LeaderGrant {
+        relay: usize,
+        vm: usize,
+        number: Number,
+        permit: Option<IssuedPermits>,
+        asked: [Duration; 2],
+    },
     /// The relay's answer comes back.
     Grant(usize, Number, Option<IssuedPermits>, Duration),
     Report(usize),
@@ -126,6 +141,8 @@
     interval: f64,
     trouble: Trouble,
     arrivals: Vec<(Number, Duration)>,
+    /// When each endpoint first got a request that it answers with its limit.
+    first_named: FastMap<Number, Duration>,
     /// Until when a VM that does not lead any more goes on as the leader.
     former: Option<(usize, Duration)>,
     rng: StdRng,
@@ -160,6 +177,7 @@
             interval: 1.0 / rate,
             trouble,
             arrivals: Vec::new(),
+            first_named: FastMap::default(),
             former: None,
             rng: StdRng::seed_from_u64(seed),
         };
@@ -275,14 +293,20 @@
                         let way = self.way();
                         self.after(way, Event::Ask(relay, vm, number, now));
                     }
-                    None => self.start(vm, number),
+                    None => self.seek(vm, vm, number, now),
                 }
             }
-            Event::Ask(relay, vm, number, asked) => {
-                self.vms[relay].limits.refresh(now);
-                let permit = self.vms[relay].limits.pass_on_one(&instance(number), now);
+            Event::Ask(relay, vm, number, asked) => self.seek(relay, vm, number, asked),
+            Event::AskLeader { leader, relay, vm, number, asked } => {
+                let permit =
+                    self.vms[leader].limits.issue_one(&name(relay), &instance(number), now);
                 let way = self.way();
-                self.after(way, Event::Grant(vm, number, permit, asked));
+                self.after(way, Event::LeaderGrant { relay, vm, number, permit, asked });
+            }
+            Event::LeaderGrant { relay, vm, number, permit, asked: [asked, asked_leader] } => {
+                let permits: Vec<_> = permit.into_iter().collect();
+                self.vms[relay].limits.on_permits(&permits, asked_leader, now);
+                self.grant(relay, vm, number, asked);
             }
             Event::Grant(vm, number, permit, asked) => {
                 let permits: Vec<_> = permit.into_iter().collect();
@@ -327,6 +351,9 @@
                 self.after(TICK, Event::Tick(vm));
             }
             Event::Arrival(vm, number, sent) => {
+                if self.limit.is_some() {
+                    self.first_named.entry(number).or_insert(now);
+                }
                 // A new process does not know the limit at first, which counts from when it does.
                 let Vm { life, named, .. } = &self.vms[vm];
                 if *life == 0 || named.get(&number).is_some_and(|named| now >= *named + TOLD_DELAY)
@@ -393,6 +420,35 @@
         }
     }
 
+    /// Looks for a permit for a request of a VM at its relay, which asks the leader if few others do.
+    fn seek(&mut self, relay: usize, vm: usize, number: Number, asked: Duration) {
+        let now = self.now;
+        let limits = &mut self.vms[relay].limits;
+        limits.refresh(now);
+        let asks = limits.seek(&instance(number), now)
+            && !limits.is_open(&instance(number), now)
+            && limits.take_ask(now);
+        match self.vms[relay].upper.filter(|_| asks) {
+            Some(leader) => {
+                let way = self.way();
+                let asked = [asked, now];
+                self.after(way, Event::AskLeader { leader, relay, vm, number, asked });
+            }
+            None => self.grant(relay, vm, number, asked),
+        }
+    }
+
+    /// Passes on a permit for a request of a VM, if its relay has one.
+    fn grant(&mut self, relay: usize, vm: usize, number: Number, asked: Duration) {
+        if relay == vm {
+            self.start(vm, number);
+            return;
+        }
+        let permit = self.vms[relay].limits.pass_on_one(&instance(number), self.now);
+        let way = self.way();
+        self.after(way, Event::Grant(vm, number, permit, asked));
+    }
+
     /// Replaces a VM's process by a new one that knows nothing.
     fn restart(&mut self, vm: usize) {
         let Vm { upper, members, life, next_report, .. } = self.vms[vm];
@@ -675,13 +731,14 @@
     #[test]
     fn no_more_than_the_limit_arrives_in_trouble(
         size in prop::sample::select(vec![1usize, 3, 7, 12, 30, 79]),
-        limit in prop::sample::select(vec![40.0, 12.0, 3.3, 1.0, 0.2, 0.0]),
+        limit in prop::sample::select(vec![40.0, 12.0, 3.3, 1.0, 0.5, 0.2, 0.0]),
         has_others: bool,
         loss in 0u32..30,
         delay in 3u64..300,
         lost_at in prop::option::of((1u64..20, any::<bool>())),
         cut in prop::option::of((1u64..20, 1u64..15)),
         restarts in prop::option::of(300u64..3_000),
+        is_thin: bool,
         seed: u64,
     ) {
         let trouble = Trouble {
@@ -691,7 +748,8 @@
             cut: cut.map(|(at, time)| (Duration::from_secs(at), Duration::from_secs(time))),
             restarts: restarts.map(Duration::from_millis),
         };
-        let (fleet, from) = play(size, limit, limit * 3.0 + 10.0, has_others, trouble, seed);
+        let demand = if is_thin { limit * 1.5 + 0.5 } else { limit * 3.0 + 10.0 };
+        let (fleet, from) = play(size, limit, demand, has_others, trouble, seed);
         let most = fleet.most_in_span(from);
         let allowed = limit * SPAN.as_secs_f64() * 1.5 + FREE_REQUESTS;
         prop_assert!(most as f64 <= allowed, "{most} in 4 s, {allowed} allowed");
@@ -730,17 +788,20 @@
     fleet.endpoints = endpoints;
     fleet.run(Duration::from_secs(2));
     fleet.limit = Some(limit);
-    let first = fleet.now;
-    let all = |fleet: &Fleet, vm: &Vm| {
-        (0..fleet.endpoints).all(|number| vm.limits.rate(&instance(number)).is_some())
-    };
-    let told = loop {
-        if fleet.vms.iter().all(|vm| all(&fleet, vm)) {
-            break fleet.now - first;
-        }
+    // How long after each endpoint first named its limit all VMs know that.
+    let mut told: FastMap<Number, Duration> = FastMap::default();
+    while told.len() < endpoints as usize {
         fleet.run(Duration::from_millis(20));
-    };
-    fleet.run(first + CONTACT_TIME - fleet.now);
+        for (number, named) in &fleet.first_named {
+            let knows = |vm: &Vm| vm.limits.rate(&instance(*number)).is_some();
+            if !told.contains_key(number) && fleet.vms.iter().all(knows) {
+                told.insert(*number, fleet.now - *named);
+            }
+        }
+        assert!(fleet.now < Duration::from_secs(60), "not all limits are known");
+    }
+    let told = told.values().max().copied().unwrap_or_default();
+    fleet.run(CONTACT_TIME);
     let from = fleet.now;
     fleet.run(Duration::from_secs(40));
     let (rate, most) = (fleet.rate_since(from), fleet.most_in_span(from));
@@ -767,5 +828,7 @@
     small_fleet_uses_limits_named_in_the_same_second: 8, 9, 3.3;
     middle_fleet_uses_limits_named_in_the_same_second: 79, 40, 3.3;
     large_fleet_uses_limits_named_in_the_same_second: 295, 100, 3.3;
+    small_fleet_uses_small_limits: 8, 9, 0.5;
+    middle_fleet_uses_limits_that_are_small_for_its_relays: 79, 40, 0.5;
     large_fleet_uses_limits_that_are_small_for_its_relays: 295, 100, 0.5;
 }
--- a/crates/entry/src/process/asks.rs
+++ b/crates/entry/src/process/asks.rs
@@ -136,6 +136,13 @@
     Some((name(&ask.service)?, target))
 }
 
+/// Returns the message that answers a relay's ask for a permit. Tokens are admitted by relays only.
+pub(crate) fn permit_grant(ask: &Ask, permits: Option<Permits>) -> Body {
+    let refused = TokensRefused::Unavailable(RELAY_RETRY_DELAY);
+    let result = if ask.tokens == 0 { Ok(Admission { floor: 0, pool: 0 }) } else { Err(refused) };
+    grant_message(ask.id, result, permits)
+}
+
 /// Returns the message that answers an ask; `permit` goes with granted tokens.
 pub(crate) fn grant_message(
     id: u64,
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -29,6 +29,7 @@
 use crate::edge::pool::Pool;
 use crate::edge::{Protocol, Store, StoreError, StoreRows, Table, WriteOutcome};
 use crate::process::active_fleet::ActiveFleet;
+use crate::process::asks::{permit_grant, permit_needs};
 use crate::process::crashes::Crashes;
 use crate::process::endpoint_list::{EndpointList, ListEntry, ListUpdate};
 use crate::process::freshness::Freshness;
@@ -39,7 +40,7 @@
 use crate::process::scheduler::Scheduler;
 use crate::process::settings::EntrySettings;
 use crate::wire::{
-    Body, EndpointLimit, Held, Lead as LeadMessage, ListRow, Position, Role, Status,
+    Ask, Body, EndpointLimit, Held, Lead as LeadMessage, ListRow, Position, Role, Status,
 };
 
 use self::lease::{CLAIM_DELAY, CLAIM_MARGIN, LEADER_TIMEOUT, LEASE_TERM, READ_INTERVAL};
@@ -73,6 +74,8 @@
 pub(crate) enum CoordinatorEvent {
     /// A VM sent its report; the guard is dropped once the report is handled.
     Status(PeerId, Box<Status>, Option<OpenMessage>),
+    /// A relay asks the leader for a permit; the guard is dropped once it is answered.
+    PermitAsked(PeerId, Box<Ask>, Option<OpenMessage>),
     /// A VM connected; messages to the VM go through the sender.
     PeerConnected(PeerId, mpsc::UnboundedSender<Body>),
     /// A VM's connection ended.
@@ -334,6 +337,9 @@
                 }
             }
             CoordinatorEvent::PermitsCame => self.pass_on_permits(),
+            CoordinatorEvent::PermitAsked(peer, ask, _open) => {
+                self.answer_relay_ask(peer, &ask, now)
+            }
             CoordinatorEvent::TrialAllowed(vm, part) => self.pass_on_trial(&vm, &part),
             CoordinatorEvent::RelayAlive => self.leader_heard = now,
             CoordinatorEvent::LinkMessage(open) => drop(open),
@@ -507,6 +513,16 @@
         }
     }
 
+    /// Answers a relay that asks for a permit.
+    fn answer_relay_ask(&self, peer: PeerId, ask: &Ask, now: Duration) {
+        let Some(known) = self.peers.get(&peer) else { return };
+        let is_relay = known.position == Some(Position::ReportingRelay);
+        let needs = permit_needs(ask).filter(|_| is_relay && self.leads_now(now));
+        let permits = needs.and_then(|needs| self.handles.scheduler.issue_permit(&known.vm, needs));
+        // The receiver is gone if the connection has ended.
+        let _ = known.sender.send(permit_grant(ask, permits));
+    }
+
     /// Returns whether VMs of this domain may report to this one.
     fn serves_members(&self) -> bool {
         self.handles.roster.is_relay() && !self.leaving
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -31,7 +31,7 @@
 use crate::process::roster::{Position, RosterView};
 use crate::process::scheduler::Scheduler;
 use crate::process::settings::EntrySettings;
-use crate::wire::{self, Ask, Body, FrameCodec, Lead, Received, Role, Status};
+use crate::wire::{self, Ask, Body, FrameCodec, Grant, Lead, Received, Role, Status};
 
 /// How often a VM reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
@@ -200,6 +200,12 @@
                     let event = CoordinatorEvent::Status(id, Box::new(status), open);
                     let _ = services.events.send(event);
                 }
+                Some(Ok(Received { body: Body::Ask(ask), memory })) if ask.workspace.is_empty() => {
+                    pace.on_ask();
+                    let open = OpenMessage { _permit: permit, _memory: memory };
+                    let event = CoordinatorEvent::PermitAsked(id, Box::new(ask), Some(open));
+                    let _ = services.events.send(event);
+                }
                 Some(Ok(Received { body: Body::Ask(ask), .. })) => {
                     pace.on_ask();
                     if let Some(sender) = answers.upgrade() {
@@ -280,9 +286,15 @@
             result = admitting => result,
             () = sender.closed() => return,
         };
-        let needs = permit_needs(&ask).filter(|_| result.is_ok());
-        let permits =
-            needs.and_then(|(service, target)| scheduler.pass_on_permit(&service, target));
+        let permits = match permit_needs(&ask).filter(|_| result.is_ok()) {
+            Some(needs) => {
+                if scheduler.seek_permit(&needs) {
+                    quotas.ask_permit(needs.clone()).await;
+                }
+                scheduler.pass_on_permit(needs)
+            }
+            None => None,
+        };
         let _ = sender.send(grant_message(ask.id, result, permits));
         drop(permit);
     });
@@ -449,17 +461,28 @@
                     }
                 }
                 () = timer.wait() => {}
+                request = self.asks.next(), if self.roster.is_relay() => {
+                    if let Body::Ask(ask) = request {
+                        let event = CoordinatorEvent::PermitAsked(0, Box::new(ask), None);
+                        let _ = self.events.send(event);
+                    }
+                    continue;
+                }
                 message = messages.recv() => {
-                    if let Some(Body::Lead(message)) = message {
-                        self.apply(&message);
-                        // Others may know the leader.
-                        let leads = message.role() == Role::Leader;
-                        if !leads
-                            && self.roster.is_relay()
-                            && !self.roster.leader_choices().is_empty()
-                        {
-                            return;
+                    match message {
+                        Some(Body::Lead(message)) => {
+                            self.apply(&message);
+                            // Others may know the leader.
+                            let leads = message.role() == Role::Leader;
+                            if !leads
+                                && self.roster.is_relay()
+                                && !self.roster.leader_choices().is_empty()
+                            {
+                                return;
+                            }
                         }
+                        Some(Body::Grant(grant)) => self.on_grant(&grant),
+                        _ => {}
                     }
                     continue;
                 }
@@ -524,7 +547,9 @@
                     }
                     continue;
                 }
-                request = self.asks.next(), if end == LinkEnd::Lost && position == Position::Member => {
+                request = self.asks.next(),
+                    if end == LinkEnd::Lost && position != Position::Candidate =>
+                {
                     if framed.send(request).await.is_err() {
                         return end;
                     }
@@ -535,12 +560,7 @@
                         Some(Ok(Received { body: Body::Lead(message), memory })) => (message, memory),
                         Some(Ok(Received { body: Body::Grant(grant), .. })) => {
                             heard = Instant::now();
-                            if let (Some(permits), Some(asked)) =
-                                (&grant.permits, self.asks.asked(&grant))
-                            {
-                                self.scheduler.on_permits(std::slice::from_ref(permits), asked);
-                            }
-                            self.asks.on_grant(&grant);
+                            self.on_grant(&grant);
                             continue;
                         }
                         Some(Ok(_)) | None => {
@@ -585,8 +605,10 @@
                         if self.has_relay() {
                             return LinkEnd::Lost;
                         }
-                    } else if end == LinkEnd::Refused && position == Position::Member {
-                        self.roster.set_position(Position::Member, "a relay serves it");
+                    } else if end == LinkEnd::Refused {
+                        if position == Position::Member {
+                            self.roster.set_position(Position::Member, "a relay serves it");
+                        }
                         for ask in self.asks.repeat() {
                             if framed.send(ask).await.is_err() {
                                 return LinkEnd::Lost;
@@ -619,6 +641,14 @@
         }
     }
 
+    /// Adds the permits of another VM's answer to an ask, and passes it to the request that asked.
+    fn on_grant(&mut self, grant: &Grant) {
+        if let (Some(permits), Some(asked)) = (&grant.permits, self.asks.asked(grant)) {
+            self.scheduler.on_permits(std::slice::from_ref(permits), asked);
+        }
+        self.asks.on_grant(grant);
+    }
+
     /// Returns this VM's report for a VM that has the configuration `known`.
     ///
     /// `full` adds what a new leader does not know yet.
--- a/crates/entry/src/process/quotas.rs
+++ b/crates/entry/src/process/quotas.rs
@@ -82,6 +82,9 @@
     closed: bool,
 }
 
+/// How long a request waits for the leader's answer to its relay's ask for a permit: a few round trips
+/// between failure domains.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(100);
 /// How often all workspaces are reported, including unchanged ones, whose ceilings would otherwise
 /// expire.
 const FULL_REPORT_INTERVAL: Duration = Duration::from_secs(2);
@@ -215,6 +218,16 @@
         }
     }
 
+    /// Asks the leader for a permit, as a relay; it is at hand once this returns, if there is one.
+    pub(crate) async fn ask_permit(&self, needs: PermitNeeds) {
+        let until = Instant::now() + PERMIT_TIMEOUT;
+        let (ask, answer) = OpenAsk::new(WorkspaceId::default(), 0, Some(needs), until);
+        // The receiver is gone only while the process shuts down.
+        let _ = self.relay_requests.send(RelayRequest::Ask(ask));
+        // Without an answer, the request goes on without a permit.
+        let _ = tokio::time::timeout_at(until, answer).await;
+    }
+
     /// Admits tokens of another VM's request, as a relay.
     ///
     /// # Errors
--- a/crates/entry/src/process/scheduler/limits.rs
+++ b/crates/entry/src/process/scheduler/limits.rs
@@ -6,13 +6,13 @@
 
 use bamboocourse_decide::{
     Availability, EndpointId, EndpointInstance, IssuedPermits, LimitChange, LimitNumber,
-    LimitStatement, ModelRef, NamedLimit, PermitRole, RaiseEvidence, Rate, Requirements, ServiceId,
-    VmId, Want,
+    LimitStatement, NamedLimit, PermitRole, RaiseEvidence, Rate, Requirements, VmId, Want,
 };
 use log::info;
 
 use super::{EndpointSlot, Scheduler};
 use crate::edge::clock::boot_now;
+use crate::process::asks::PermitNeeds;
 use crate::wire::{EndpointLimit, LimitRaise, PermitWant, Permits, Status};
 
 /// The most limits that a refusal names.
@@ -204,16 +204,29 @@
     }
 
     /// Passes on a permit for a member's request that an endpoint with a limit could take.
-    pub(crate) fn pass_on_permit(
-        &self,
-        service: &ServiceId,
-        target: Option<ModelRef>,
-    ) -> Option<Permits> {
+    pub(crate) fn pass_on_permit(&self, (service, target): PermitNeeds) -> Option<Permits> {
         let mut state = self.state();
-        let passed = state.dispatcher.pass_on_permit(service, target, boot_now());
+        let passed = state.dispatcher.pass_on_permit(&service, target, boot_now());
         passed.as_ref().map(permits_message)
     }
 
+    /// Records that a request which comes through this relay looks for a permit; returns whether the relay
+    /// asks the leader for one.
+    pub(crate) fn seek_permit(&self, (service, target): &PermitNeeds) -> bool {
+        self.state().dispatcher.seek_permit(service, target.clone(), boot_now())
+    }
+
+    /// Issues a permit to a relay that asks for one, as the leader.
+    pub(crate) fn issue_permit(
+        &self,
+        vm: &VmId,
+        (service, target): PermitNeeds,
+    ) -> Option<Permits> {
+        let issued = self.state().dispatcher.issue_permit(vm, &service, target, boot_now());
+        self.metrics.count_permits("issued", issued.iter().map(|permits| permits.count).sum());
+        issued.as_ref().map(permits_message)
+    }
+
     /// Adds permits that this VM asked for at the time `asked`; returns whether there are any.
     pub(crate) fn on_permits(self: &Arc<Self>, permits: &[Permits], asked: Duration) -> bool {
         if permits.is_empty() {
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -216,17 +216,15 @@
             parts: request.parts.clone(),
         };
         let is_trial = self.check_prompt(&prompt).await?;
+        let permit = self.scheduler.has_limits().then(|| (service.clone(), request.target.clone()));
         let admission = match workspace {
             Some(workspace) if workspace.rate > 0.0 => {
                 let tokens = request
                     .tokens
                     .map_or(workspace.default_cost, |(prompt, output)| prompt + output);
                 let timeout = TOKEN_TIMEOUT.min(route.latency_target / 2);
-                let permit = self.scheduler.has_limits().then(|| {
-                    let target = request.target.clone();
-                    (service.clone(), target)
-                });
-                let admission = self.quotas.admit(&workspace.name, tokens, permit, timeout).await;
+                let needs = permit.clone();
+                let admission = self.quotas.admit(&workspace.name, tokens, needs, timeout).await;
                 let admission = admission.map_err(|refused| match refused {
                     TokensRefused::Exhausted(after) => {
                         let detail =
@@ -242,6 +240,12 @@
             }
             _ => None,
         };
+        if let Some(needs) = permit
+            && self.quotas.is_relay()
+            && self.scheduler.seek_permit(&needs)
+        {
+            self.quotas.ask_permit(needs).await;
+        }
         let job = Job {
             body,
             route: route.clone(),
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -515,7 +515,8 @@
     #[prost(string, tag = "3")]
     pub peer: ::prost::alloc::string::String,
 }
-/// A request for the tokens of one request, to a relay.
+/// A request for the tokens of one request, to a relay; or a relay's request for a permit, to the leader, which
+/// names no workspace.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Ask {
     /// The number of the request on this connection's sender.
