A part held back by chance is let go once another explains the ends

Cause: the first three requests that crash endpoints, within 25 ms, have a sound part in common beside the bad one. As much speaks against each, the later one in the prompt is held back, and the ends that it explains count no more against the bad one: that takes three more. Only a trial lets the sound one go, and trials need a leader, who leaves at the same time.

Change: a part that is held back by weak evidence is let go, and the other one held back instead, once more endpoints have ended under the other one, among them all of its own, over a second or more. Each VM that knows the ends decides so, and does not take the part from others who do not know yet.

--- a/crates/decide/src/request/crash_log.rs
+++ b/crates/decide/src/request/crash_log.rs
@@ -9,6 +9,8 @@
 //!   endpoint to the next does not suffice by itself.
 //! - An endpoint whose end is explained by a part that is held back already, or that more endpoints
 //!   ended under, does not count against the other parts of the same requests.
+//! - A part that may be held back by chance is let go once more endpoints have ended under another one,
+//!   among them all that had ended under the first.
 //! - A request with the part that some endpoint went on answering clears all earlier evidence. A part
 //!   that was answered some time ago needs more evidence than one that never was. So does any part
 //!   while endpoints also end under other requests: a rare part may have been there by chance.
@@ -527,6 +529,7 @@
         for held in told {
             self.hold(held, true, now);
         }
+        self.release_explained(now);
     }
 
     /// Holds a part back, or updates what is known of one that is.
@@ -545,6 +548,11 @@
             }
             return;
         }
+        // Another VM may not have let it go yet.
+        let mut strong = self.held.values().filter(|hold| !hold.held.weak);
+        if held.weak && strong.any(|hold| self.explains(&hold.held.part, &held.part, now)) {
+            return;
+        }
         if self.held.len() >= MAX_HELD_PARTS
             && let Some((oldest, _)) = self.held.iter().min_by_key(|(_, hold)| hold.held.last)
         {
@@ -604,6 +612,7 @@
         while let Some(held) = self.find_part(now) {
             self.hold(held, false, now);
         }
+        self.release_explained(now);
         let held: Vec<PartId> = self.held.keys().cloned().collect();
         for part in held {
             let ends = self.part_ends(&part, now);
@@ -613,6 +622,16 @@
         }
     }
 
+    /// Lets the parts go that may be held back by chance, if another one explains the ends.
+    fn release_explained(&mut self, now: Duration) {
+        while let Some((part, better)) = self.find_better(now) {
+            self.release(&part, "another part explains the ends");
+            if let Some(better) = better {
+                self.hold(better, false, now);
+            }
+        }
+    }
+
     /// Returns how many endpoints ended under a part since a request with it was last answered.
     fn part_ends(&self, part: &PartId, now: Duration) -> u32 {
         let sound_at = self.sound_at(part);
@@ -648,15 +667,39 @@
         other.map(|(_, held)| HeldPart { workspace: None, ..held.clone() })
     }
 
+    /// Finds a part that may be held back by chance, while another one was there at all of its ends and at
+    /// more; returns the other one, too, if it is not held back yet.
+    fn find_better(&self, now: Duration) -> Option<(PartId, Option<HeldPart>)> {
+        let weak = self.held.values().filter(|hold| hold.held.weak).map(|hold| &hold.held.part);
+        let explained = weak.filter_map(|part| {
+            let mut strong = self.held.values().filter(|hold| !hold.held.weak);
+            if strong.any(|hold| self.explains(&hold.held.part, part, now)) {
+                return Some((part.clone(), None));
+            }
+            let best = most_suspected(&self.gather(Some(part), now)).filter(|best| !best.weak)?;
+            self.explains(&best.part, part, now).then(|| (part.clone(), Some(best)))
+        });
+        explained.min_by(|(a, _), (b, _)| a.cmp(b))
+    }
+
+    /// Returns whether a part was there at all recent ends of another one that suffice to hold it back, and
+    /// more endpoints ended under it.
+    fn explains(&self, part: &PartId, other: &PartId, now: Duration) -> bool {
+        let is_at = |end: &EndpointEnd, part: &PartId| {
+            end.suspects.iter().any(|suspect| suspect.parts.contains(part))
+        };
+        let mut ends = self.recent_ends(now).filter(|end| is_at(end, other));
+        let known = self.part_ends(other, now);
+        known as usize >= UNKNOWN_PART_ENDS
+            && self.part_ends(part, now) > known
+            && ends.all(|end| is_at(end, part))
+    }
+
     /// Finds the part that most ends speak against, if they are enough; updates which parts are
     /// suspected.
     fn find_part(&mut self, now: Duration) -> Option<HeldPart> {
-        let evidence = self.gather(now);
-        let enough = evidence.iter().filter(|(_, evidence)| evidence.is_enough());
-        let best = enough.max_by_key(|(part, evidence)| {
-            (evidence.sound_at.is_none(), evidence.ends, evidence.place, PartId::clone(part))
-        });
-        let found = best.map(|(part, evidence)| evidence.held_part(part));
+        let evidence = self.gather(None, now);
+        let found = most_suspected(&evidence);
         let suspected: FastMap<PartId, usize> = evidence
             .iter()
             .filter(|(_, evidence)| evidence.ends + 1 >= UNKNOWN_PART_ENDS)
@@ -672,13 +715,15 @@
         found
     }
 
-    /// Gathers what speaks against each part.
-    fn gather(&self, now: Duration) -> FastMap<&PartId, Evidence<'_>> {
+    /// Gathers what speaks against each part, as if `open` were not held back.
+    fn gather(&self, open: Option<&PartId>, now: Duration) -> FastMap<&PartId, Evidence<'_>> {
         let mut evidence: FastMap<&PartId, Evidence<'_>> = FastMap::default();
         let mut unexplained = 0;
         for end in self.recent_ends(now) {
-            let is_explained =
-                end.suspects.iter().any(|suspect| self.held_of(suspect).next().is_some());
+            let is_explained = end
+                .suspects
+                .iter()
+                .any(|suspect| self.held_of(suspect).any(|held| Some(&held.part) != open));
             if is_explained {
                 continue;
             }
@@ -744,6 +789,15 @@
     }
 }
 
+/// Returns the part that most ends speak against, if they are enough to hold it back.
+fn most_suspected(evidence: &FastMap<&PartId, Evidence<'_>>) -> Option<HeldPart> {
+    let enough = evidence.iter().filter(|(_, evidence)| evidence.is_enough());
+    let best = enough.max_by_key(|(part, evidence)| {
+        (evidence.sound_at.is_none(), evidence.ends, evidence.place, PartId::clone(part))
+    });
+    best.map(|(part, evidence)| evidence.held_part(part))
+}
+
 /// Drops the older half of the entries if there are more than `most`.
 fn keep_newest(parts: &mut FastMap<PartId, Duration>, most: usize) {
     if parts.len() <= most {
--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -84,6 +84,56 @@
     assert!(matches!(log.check(&innocent, seconds(1.0)), PromptCheck::EndedEndpoints(4)));
 }
 
+// The first three requests that crash endpoints have another part in common, which as much speaks against.
+// The next one has not.
+#[test]
+fn part_that_was_there_at_the_first_crashes_is_let_go_once_another_explains_them() {
+    let mut log = CrashLog::default();
+    for number in 0..3 {
+        let parts = ["first", BAD, "rare"];
+        add(&mut log, number as usize, number as f64 / 100.0, &[prompt(number, &parts)]);
+    }
+    assert_eq!(held(&log).len(), 1);
+    add(&mut log, 3, 1.3, &[prompt(3, &["first", BAD, "other"])]);
+    assert_eq!(held(&log), [BAD]);
+    assert!(is_open(&mut log, &["first", "rare"], 1.4));
+    // Others have not let it go yet.
+    let rare = HeldPart {
+        part: "rare".into(),
+        workspace: None,
+        first: Duration::ZERO,
+        last: seconds(0.02),
+        ends: 3,
+        trials: 0,
+        weak: true,
+    };
+    let bad = log.held().remove(0);
+    log.on_told(vec![rare, bad], seconds(1.5));
+    assert_eq!(held(&log), [BAD]);
+    let changes = log.take_changes();
+    let is_released = |change: &PartChange| matches!(change, PartChange::Released(held, _) if held.part == "rare");
+    assert!(changes.iter().any(is_released), "{changes:?}");
+}
+
+// An end that the part was not there at speaks for it no more than for any other.
+#[test]
+fn part_that_was_held_back_early_stays_while_no_other_explains_its_ends() {
+    let mut log = CrashLog::default();
+    for number in 0..3 {
+        let other = format!("other{number}");
+        let request = prompt(number, &["first", &other, BAD]);
+        add(&mut log, number as usize, number as f64 / 100.0, &[request]);
+    }
+    // Too early for answers to requests with the part that all of them have.
+    add(&mut log, 3, 0.5, &[prompt(3, &["first", "other0"])]);
+    assert_eq!(held(&log), [BAD]);
+    log.on_sound(&"w".into(), &["first".into()], seconds(0.6), seconds(0.9));
+    for number in 4..7 {
+        add(&mut log, number as usize, 1.5, &[prompt(number, &["first", "other0"])]);
+        assert!(held(&log).contains(&BAD.to_owned()));
+    }
+}
+
 #[test]
 fn part_that_requests_are_answered_with_is_not_held_back() {
     let mut log = CrashLog::default();
