A relay gives back no tokens to the leader that another relay has granted

Since relays ask the leader for single permits, what a VM had queued to give back while it was a member would have reached the leader, who had not granted it: the pool would have counted as many tokens less as spent. The queue is dropped for a relay.

--- a/crates/decide/src/process/request_limits/permits.rs
+++ b/crates/decide/src/process/request_limits/permits.rs
@@ -274,10 +274,10 @@
         }
         let mut wants = Vec::new();
         let log = &self.log;
-        let asks = !self.is_alone && self.role != PermitRole::Member;
+        let asks_leader = !self.is_alone && self.role != PermitRole::Member;
         self.accounts.retain(|instance, account| {
             account.expire(now);
-            if asks && account.is_thin(PERMIT_TERM, now) {
+            if asks_leader && account.is_thin(PERMIT_TERM, now) {
                 // The next request asks for its permit.
                 account.passed = 0;
                 account.give_back(PERMIT_TERM, now);
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -550,6 +550,10 @@
                 request = self.asks.next(),
                     if end == LinkEnd::Lost && position != Position::Candidate =>
                 {
+                    // What is given back was granted by a relay, not by the leader.
+                    if position == Position::Relay && matches!(request, Body::Refund(_)) {
+                        continue;
+                    }
                     if framed.send(request).await.is_err() {
                         return end;
                     }
