A limit that another VM tells is made usable like one that an endpoint names

A NaN in a message between VMs was taken for the limit in force: times worked out from it panic, and bounds compare with it as false. Numbers beyond any limit counted as they are, and counts of answers could overflow. The new property test failed at its first case (NaN in force); 2,000 cases pass now. Found by reading through what is read from other VMs; none has been seen to send such a number.

--- a/crates/decide/src/process/request_limits/log.rs
+++ b/crates/decide/src/process/request_limits/log.rs
@@ -133,8 +133,7 @@
         let known = self.records.get(instance).map(|record| record.statement);
         let rate = match named {
             None => None,
-            Some(NamedLimit::PerSecond(rate)) if rate.is_nan() => Some(UNREADABLE_RATE),
-            Some(NamedLimit::PerSecond(rate)) => Some(rate.clamp(0.0, MAX_RATE)),
+            Some(NamedLimit::PerSecond(rate)) => Some(usable(rate)),
             Some(NamedLimit::Unreadable) => {
                 known.and_then(|known| known.rate).or(Some(UNREADABLE_RATE))
             }
@@ -161,6 +160,7 @@
         now: Duration,
         decides: bool,
     ) -> Option<LimitChange> {
+        let raise = RaiseEvidence { rate: raise.rate.map(usable), ..raise };
         let record = self.records.get_mut(instance)?;
         let known = record.statement;
         if !is_later(raise.sent, &known) || compare(raise.rate, known.rate) != Ordering::Greater {
@@ -171,7 +171,7 @@
             Some(former) => RaiseEvidence {
                 rate: lower(former.rate, rate),
                 sent: former.sent.min(sent),
-                answers: former.answers + answers,
+                answers: former.answers.saturating_add(answers),
             },
             None => raise,
         };
@@ -191,6 +191,7 @@
         instance: &EndpointInstance,
         told: LimitStatement,
     ) -> Option<LimitChange> {
+        let told = LimitStatement { rate: told.rate.map(usable), ..told };
         let Some(record) = self.records.get_mut(instance) else {
             return told.rate.and_then(|_| self.set(instance, told));
         };
@@ -273,7 +274,12 @@
 /// Returns whether an answer to a request that was sent at a time is newer than all those with a lower
 /// limit.
 fn is_later(sent: Duration, lower: &LimitStatement) -> bool {
-    sent > lower.seen + RAISE_MARGIN
+    sent > lower.seen.saturating_add(RAISE_MARGIN)
+}
+
+/// Returns the limit that a number stands for, which comes from an endpoint or another VM.
+fn usable(rate: Rate) -> Rate {
+    if rate.is_nan() { UNREADABLE_RATE } else { rate.clamp(0.0, MAX_RATE) }
 }
 
 /// Compares two limits; no limit is above all others.
--- a/crates/decide/tests/limit_log.rs
+++ b/crates/decide/tests/limit_log.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use bamboocourse_decide::{EndpointInstance, LimitLog, LimitStatement, NamedLimit, Rate};
+use bamboocourse_decide::{
+    EndpointInstance, LimitLog, LimitStatement, NamedLimit, PermitRole, RaiseEvidence, Rate,
+    RelayPart, RequestLimits,
+};
+use proptest::prelude::*;
 
 fn ms(time: u64) -> Duration {
     Duration::from_millis(time)
@@ -106,3 +110,34 @@
     log.on_answer(&endpoint(), Some(NamedLimit::PerSecond(2.0)), ms(0), ms(1), true);
     assert_eq!(log.rate(&("e1".into(), 8)), None);
 }
+
+proptest! {
+    // A VM may be told any number; it counts with those that an endpoint can mean.
+    #[test]
+    fn odd_limits_told_by_other_vms_end_no_vm(
+        told in prop::option::of(any::<f64>()),
+        raised in prop::option::of(any::<f64>()),
+        sent in any::<u64>(),
+        seen in any::<u64>(),
+        answers in any::<u32>(),
+    ) {
+        let now = ms(20_000);
+        for rate in [told, Some(f64::NAN), Some(f64::INFINITY), Some(-1.0), Some(f64::MIN_POSITIVE)] {
+            let mut limits = RequestLimits::default();
+            limits.set_role(PermitRole::Relay(RelayPart { relays: 3, rank: 1 }), Duration::ZERO);
+            let statement = LimitStatement { rate, sent: ms(sent), seen: ms(seen) };
+            limits.on_limits(&[(endpoint(), statement)], &[], now);
+            let evidence = RaiseEvidence { rate: raised, sent: ms(sent), answers };
+            limits.on_limits(&[], &[(endpoint(), evidence), (endpoint(), evidence)], now);
+            if let Some(rate) = limits.rate(&endpoint()) {
+                prop_assert!((0.0..=1e6).contains(&rate), "{rate}");
+            }
+            limits.waiting_time([endpoint()].iter(), u32::MAX, now);
+            limits.seek(&endpoint(), now);
+            limits.refresh(now + ms(5_000));
+            limits.report(0, &Default::default(), now);
+            let named = Some(NamedLimit::PerSecond(3.0));
+            limits.on_answer(&endpoint(), named, now, now);
+        }
+    }
+}
