--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -92,7 +92,7 @@
     Availability, AvailabilityLog, EndpointInstance, MAX_QUIET, QuietRequest, UNREADABLE_QUIET,
 };
 pub use request::crash_log::{
-    CrashLog, EVIDENCE_TERM, EndpointEnd, HeldPart, PartChange, Prompt, PromptCheck,
+    CrashLog, EVIDENCE_TERM, EndpointEnd, HeldPart, PartChange, PartEvidence, Prompt, PromptCheck,
     SOUND_STREAM_TIME, TRIAL_TERM,
 };
 pub use request::dispatch::{
--- a/crates/decide/src/request/crash_log.rs
+++ b/crates/decide/src/request/crash_log.rs
@@ -153,11 +153,28 @@
     EndedEndpoints(usize),
 }
 
+/// Why a VM has decided to hold a part back.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PartEvidence {
+    /// The part.
+    pub part: PartId,
+    /// The ends that count: the endpoint, when it ended, and the number of suspects.
+    pub ends: Vec<(EndpointInstance, Duration, usize)>,
+    /// The number of different requests with the part among the suspects.
+    pub requests: usize,
+    /// The number of endpoints that ended under other requests.
+    pub others: usize,
+    /// When a request with the part last began to be answered, as far as is known.
+    pub sound_at: Option<Duration>,
+}
+
 /// A change at the parts that are held back, for logs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PartChange {
     /// The part was a suspect when this number of endpoints ended, and needs more evidence.
     Suspected(PartId, usize),
+    /// This VM has found the evidence against a part sufficient.
+    Decided(PartEvidence),
     /// The part is held back from now on, or for all workspaces instead of one.
     Held(HeldPart),
     /// The part is no longer held back, for this reason.
@@ -610,6 +627,8 @@
             self.hold(held, false, now);
         }
         while let Some(held) = self.find_part(now) {
+            let evidence = self.evidence_against(&held.part, now);
+            self.changes.extend(evidence.map(PartChange::Decided));
             self.hold(held, false, now);
         }
         self.release_explained(now);
@@ -715,6 +734,24 @@
         found
     }
 
+    /// Returns what speaks against a part that is not held back yet.
+    fn evidence_against(&self, part: &PartId, now: Duration) -> Option<PartEvidence> {
+        let evidence = self.gather(None, now);
+        let known = evidence.get(part)?;
+        let ends = self.recent_ends(now).filter(|end| {
+            known.sound_at.is_none_or(|at| at < end.at)
+                && end.suspects.iter().any(|suspect| suspect.parts.contains(part))
+        });
+        let ends = ends.map(|end| (end.instance.clone(), end.at, end.suspects.len()));
+        Some(PartEvidence {
+            part: part.clone(),
+            ends: ends.collect(),
+            requests: known.requests.len(),
+            others: known.others,
+            sound_at: known.sound_at,
+        })
+    }
+
     /// Gathers what speaks against each part, as if `open` were not held back.
     fn gather(&self, open: Option<&PartId>, now: Duration) -> FastMap<&PartId, Evidence<'_>> {
         let mut evidence: FastMap<&PartId, Evidence<'_>> = FastMap::default();
--- a/crates/entry/src/process/crashes.rs
+++ b/crates/entry/src/process/crashes.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    CrashLog, EndpointEnd, EndpointInstance, HeldPart, PartChange, PartId, Prompt, PromptCheck,
-    TRIAL_TERM, VmId, WorkspaceId,
+    CrashLog, EndpointEnd, EndpointInstance, HeldPart, PartChange, PartEvidence, PartId, Prompt,
+    PromptCheck, TRIAL_TERM, VmId, WorkspaceId,
 };
 use log::{info, warn};
 use tokio::sync::Notify;
@@ -22,6 +22,9 @@
 /// The most held parts that the lease's row keeps.
 const MAX_HELD_ROWS: usize = 16;
 
+/// The most ends of endpoints that are logged when a part is held back.
+const MAX_LOGGED_ENDS: usize = 8;
+
 /// The log of crashes of one process, and its messages.
 #[derive(Debug)]
 pub(crate) struct Crashes {
@@ -246,6 +249,7 @@
                     info!(part = part.as_str(), ends;
                         "endpoints have ended under requests with a part of their prompts");
                 }
+                PartChange::Decided(evidence) => log_evidence(&evidence, now),
                 PartChange::Held(held) => {
                     warn!(part = held.part.as_str(), ends = held.ends, trials = held.trials, weak = held.weak,
                         workspace = held.workspace.as_deref().unwrap_or("all"),
@@ -268,6 +272,18 @@
     }
 }
 
+/// Writes a line for each end that counts against a part, and one for what they come to.
+fn log_evidence(evidence: &PartEvidence, now: Duration) {
+    let part = evidence.part.as_str();
+    for ((endpoint, born), at, suspects) in evidence.ends.iter().take(MAX_LOGGED_ENDS) {
+        info!(part, endpoint = endpoint.as_str(), born, suspects, ago_ms = age(*at, now);
+            "the end of an endpoint counts against a part of prompts");
+    }
+    let answered_ms = evidence.sound_at.map_or(-1, |at| age(at, now) as i64);
+    info!(part, ends = evidence.ends.len(), requests = evidence.requests, others = evidence.others,
+        answered_ms; "the evidence against a part of prompts suffices");
+}
+
 /// Returns how long ago a time was, in milliseconds.
 fn age(at: Duration, now: Duration) -> u64 {
     now.saturating_sub(at).as_millis() as u64
