Endpoints that end at the same moment hold no part of prompts back; parts in doubt are asked for

All requests of a route share a part, so it is among the suspects of every endpoint that ends, and 'ends under others' is always 0 for it. The first request counts as answered some 340 ms after the start. Each VM decided by itself, on what it alone had seen answered.

Change: ends within 100 ms are one moment; three moments over 600 ms (one second and five ends where the part was answered before). Parts with two ends are in doubt: the leader tells all VMs, and those that saw one answered say so before it decides. Only the leader decides, or who has not heard of it for a second. An end counts from when it was noticed, not from when it was confirmed. Refusals on thin evidence are 503 `prompt_suspected` with Retry-After; the final 400 needs conclusive evidence.

--- a/crates/decide/src/error.rs
+++ b/crates/decide/src/error.rs
@@ -79,6 +79,8 @@
     JobUnknown,
     /// Requests with a part of the prompt have crashed endpoints.
     PromptHeld,
+    /// Endpoints have crashed under requests with a part of the prompt, which may be by chance.
+    PromptSuspected,
 }
 
 /// What a caller receives for a kind of refusal.
@@ -105,7 +107,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of declaration.
-    pub const ALL: [ErrorKind; 27] = [
+    pub const ALL: [ErrorKind; 28] = [
         ErrorKind::BadRequest,
         ErrorKind::BodyTooLarge,
         ErrorKind::HeaderTooLarge,
@@ -133,6 +135,7 @@
         ErrorKind::EndpointTimeout,
         ErrorKind::JobUnknown,
         ErrorKind::PromptHeld,
+        ErrorKind::PromptSuspected,
     ];
 
     /// Returns the response of this kind.
@@ -196,6 +199,9 @@
             ErrorKind::PromptHeld => {
                 response("prompt_held", 400, false, "leave out the part that crashes endpoints")
             }
+            ErrorKind::PromptSuspected => {
+                response("prompt_suspected", 503, true, "wait for Retry-After")
+            }
         }
     }
 }
--- a/crates/decide/src/request/crash_log.rs
+++ b/crates/decide/src/request/crash_log.rs
@@ -7,6 +7,11 @@
 //!
 //! - An endpoint counts once, whatever number of VMs saw it end. A request that was sent on from one
 //!   endpoint to the next does not suffice by itself.
+//! - Ends at the same moment are one piece of evidence: a part that most requests share is among the
+//!   suspects of every endpoint, so the loss of a rack says nothing about it. The ends must be spread
+//!   over so long that a sound part would have been answered in between by endpoints that did not end.
+//! - A part in doubt is told to all VMs, and those that saw it answered say so before it is held back.
+//!   A VM that reports to another one leaves the decision to it.
 //! - An endpoint whose end is explained by a part that is held back already, or that more endpoints
 //!   ended under, does not count against the other parts of the same requests.
 //! - A part that may be held back by chance is let go once more endpoints have ended under another one,
@@ -17,8 +22,8 @@
 //! - A part is held back only for the workspace whose requests ended all these endpoints, until a
 //!   request of another one has ended one, too.
 //!
-//! The leader tells the other VMs which parts are held back. A VM that it does not reach decides by
-//! what it has seen itself.
+//! The leader tells the other VMs which parts are held back and which are in doubt. A VM that it does
+//! not reach decides by what it has seen itself.
 //!
 //! After some time, one request is tried with a part, wherever it comes: a VM that has such a request
 //! asks for the trial with its next report, and the leader allows it to the first that asks.
@@ -41,13 +46,27 @@
 const MIN_ENDS_RATIO: usize = 3;
 /// The requests with such a part that they must have ended under.
 const UNKNOWN_PART_REQUESTS: usize = 2;
+/// The longest time between ends that count as one moment; VMs notice the loss of a rack within it.
+const MOMENT: Duration = Duration::from_millis(100);
+/// The moments at which endpoints must have ended under a part.
+const MIN_MOMENTS: usize = 3;
+/// The moments that suffice for a hold without a soon trial, however near to each other they are.
+const CONCLUSIVE_MOMENTS: usize = 5;
+/// The least time over which endpoints must have ended under a part that no request was ever answered
+/// with: requests with a sound part that were sent meanwhile begin to be answered, and go on for
+/// [`SOUND_STREAM_TIME`].
+const UNKNOWN_PART_SPAN: Duration = Duration::from_millis(600);
+/// How long a part is in doubt before it is held back, so that VMs that saw it answered can say so: two
+/// reports of a relay and its members.
+const DOUBT_TERM: Duration = Duration::from_millis(300);
+/// The most parts in doubt at a time; those with the most ends.
+const MAX_DOUBTS: usize = 32;
 /// The endpoints that must have ended under any other part.
 const KNOWN_PART_ENDS: usize = 5;
 /// The requests with such a part that they must have ended under.
 const KNOWN_PART_REQUESTS: usize = 3;
-/// The least time over which they must have ended under a part that requests were answered with
-/// before, so that the loss of many endpoints at the same moment is no evidence; requests with a part
-/// in use are answered within this time.
+/// The least time over which they must have ended; requests with a part in use are answered within this
+/// time.
 const KNOWN_PART_SPAN: Duration = Duration::from_secs(1);
 /// How long it is remembered that a request with a part was answered.
 const SOUND_MEMORY: Duration = Duration::from_secs(600);
@@ -55,8 +74,8 @@
 const SOUND_PRUNE_INTERVAL: Duration = Duration::from_secs(30);
 /// The endpoints that a request may end before it is sent no more.
 const MAX_REQUEST_ENDS: usize = 2;
-/// How long a VM holds a part back that the VM it reports to does not know of, although it has been
-/// told the evidence.
+/// How long a VM leaves decisions to the VM it reports to after that one has last told it something,
+/// and holds a part back that the other one does not.
 const UNCONFIRMED_TERM: Duration = Duration::from_secs(1);
 /// The times until one request after the other is tried with a part that is held back: from the last
 /// endpoint that ended to the first trial, and from each trial to the next.
@@ -193,7 +212,14 @@
     /// When the two were last searched for entries that are too old.
     sound_pruned: Duration,
     held: FastMap<PartId, Hold>,
-    suspected: FastMap<PartId, usize>,
+    /// The parts that this VM finds in doubt.
+    doubts: FastMap<PartId, Doubt>,
+    /// The same of the VM that this one reports to: when the first endpoint ended that counts.
+    told_doubts: FastMap<PartId, Duration>,
+    /// When that VM last told something.
+    last_told: Option<Duration>,
+    /// Whether there is something to report that the VM above waits for.
+    has_news: bool,
     /// The trials that this VM and those that report to it have asked for, oldest first.
     asks: Vec<TrialAsk>,
     /// Until when this VM may try one request with a part.
@@ -218,6 +244,15 @@
     Member(VmId),
 }
 
+/// A part under which endpoints have ended, of which too little is known.
+#[derive(Debug, Clone)]
+struct Doubt {
+    /// When the first endpoint ended that counts against it.
+    first: Duration,
+    /// When this VM began to doubt it.
+    since: Duration,
+}
+
 #[derive(Debug, Clone)]
 struct Hold {
     held: HeldPart,
@@ -235,6 +270,30 @@
         delay.map(|delay| self.last + *delay)
     }
 
+    /// Returns how long it takes until a request that is tried has shown whether the part is sound; `None`
+    /// if the evidence is conclusive, or no further request will be tried.
+    ///
+    /// ```
+    /// use bamboocourse_decide::HeldPart;
+    /// use std::time::Duration;
+    /// let (first, last) = (Duration::from_secs(10), Duration::from_secs(11));
+    /// let held = HeldPart {
+    ///     part: "p".into(),
+    ///     workspace: None,
+    ///     first,
+    ///     last,
+    ///     ends: 3,
+    ///     trials: 0,
+    ///     weak: true,
+    /// };
+    /// assert!(held.recheck_after(last).is_some());
+    /// assert_eq!(HeldPart { weak: false, ..held }.recheck_after(last), None);
+    /// ```
+    pub fn recheck_after(&self, now: Duration) -> Option<Duration> {
+        let trial = self.next_trial().filter(|_| self.weak)?;
+        Some(trial.saturating_sub(now) + TRIAL_TERM)
+    }
+
     /// Returns whether a request with the part may be tried.
     fn may_try(&self, now: Duration) -> bool {
         self.next_trial().is_some_and(|trial| trial <= now)
@@ -249,6 +308,8 @@
     workspaces: FastSet<&'a WorkspaceId>,
     first: Duration,
     last: Duration,
+    /// When the endpoints ended.
+    times: Vec<Duration>,
     /// The endpoints that ended under other requests.
     others: usize,
     /// The place of the part in the prompts, from the front.
@@ -404,10 +465,11 @@
             self.last_number += 1;
             *number = self.last_number;
         }
-        if self.ends.len() > MAX_ENDS
-            && let Some(oldest) = (0..self.ends.len()).min_by_key(|index| self.ends[*index].1.at)
-        {
-            self.ends.remove(oldest);
+        if self.ends.len() > MAX_ENDS {
+            // The oldest one stays, as it tells for how long endpoints have been ending.
+            let mut oldest: Vec<usize> = (0..self.ends.len()).collect();
+            oldest.sort_by_key(|index| self.ends[*index].1.at);
+            self.ends.remove(oldest[1]);
         }
         self.evaluate(now);
         is_new
@@ -431,6 +493,9 @@
                 return;
             }
         }
+        for part in parts {
+            self.note_news(part, began);
+        }
         let known = self.sound.entry(workspace.clone()).or_default();
         for part in parts {
             let at = known.entry(part.clone()).or_default();
@@ -444,10 +509,27 @@
 
     /// Records that another VM saw requests with a part being answered from `began` on.
     pub fn on_told_sound(&mut self, part: &PartId, began: Duration, now: Duration) {
+        self.note_news(part, began.min(now));
         self.note_told_sound(part.clone(), began.min(now));
         self.release_sound(part, began.min(now), now);
     }
 
+    /// Notes that the VM which this one reports to waits for the word that a part was answered.
+    fn note_news(&mut self, part: &PartId, began: Duration) {
+        let Some(first) = self.told_doubts.get(part) else { return };
+        self.has_news |= *first < began && self.sound_at(part).is_none_or(|at| at <= *first);
+    }
+
+    /// Returns whether there is something to report soon, once.
+    pub fn take_news(&mut self) -> bool {
+        std::mem::take(&mut self.has_news)
+    }
+
+    /// Returns whether this VM decides by itself which parts are held back.
+    fn decides(&self, now: Duration) -> bool {
+        self.leads || self.last_told.is_none_or(|at| at + UNCONFIRMED_TERM <= now)
+    }
+
     fn note_told_sound(&mut self, part: PartId, began: Duration) {
         let at = self.told_sound.entry(part).or_default();
         *at = began.max(*at);
@@ -496,14 +578,39 @@
         (later.collect(), self.last_number)
     }
 
-    /// Returns the parts that are held back although requests with them were answered since, and when
-    /// these began to be answered.
+    /// Returns the parts that are held back or in doubt although requests with them were answered since,
+    /// and when these began to be answered.
     pub fn cleared(&self) -> Vec<(PartId, Duration)> {
-        let held = self.held.iter().filter_map(|(part, hold)| {
+        let held = self.held.iter().map(|(part, hold)| (part, hold.held.first));
+        let doubts = self.told_doubts.iter().map(|(part, first)| (part, *first));
+        let parts: FastMap<&PartId, Duration> = doubts.chain(held).collect();
+        let cleared = parts.into_iter().filter_map(|(part, first)| {
             let at = self.sound_at(part)?;
-            (hold.held.first < at).then(|| (part.clone(), at))
+            (first < at).then(|| (part.clone(), at))
+        });
+        cleared.collect()
+    }
+
+    /// Returns the parts in doubt, and when the first endpoint ended that counts against each.
+    pub fn doubts(&self) -> Vec<(PartId, Duration)> {
+        let own = self.doubts.iter().map(|(part, doubt)| (part.clone(), doubt.first));
+        let told = self.told_doubts.iter().filter(|(part, _)| !self.doubts.contains_key(*part));
+        own.chain(told.map(|(part, first)| (part.clone(), *first))).collect()
+    }
+
+    /// Takes in which parts the VM that this one reports to finds in doubt, and when the first
+    /// endpoint ended that counts against each.
+    pub fn on_told_doubts(&mut self, told: Vec<(PartId, Duration)>) {
+        if self.leads {
+            return;
+        }
+        let has_news = told.iter().any(|(part, first)| {
+            // Times that other VMs tell vary by the time that messages take.
+            let is_new = self.told_doubts.get(part).is_none_or(|known| *known + MOMENT < *first);
+            is_new && self.sound_at(part).is_some_and(|at| *first < at)
         });
-        held.collect()
+        self.has_news |= has_news;
+        self.told_doubts = told.into_iter().take(MAX_DOUBTS).collect();
     }
 
     fn known_sound<'a>(&self, parts: impl Iterator<Item = &'a PartId>) -> Vec<(PartId, Duration)> {
@@ -534,6 +641,7 @@
         if self.leads {
             return;
         }
+        self.last_told = Some(now);
         let parts: FastSet<PartId> = told.iter().map(|held| held.part.clone()).collect();
         let dropped = self.held.iter().filter(|(part, hold)| {
             !parts.contains(*part) && (hold.told || hold.since + UNCONFIRMED_TERM <= now)
@@ -551,7 +659,7 @@
 
     /// Holds a part back, or updates what is known of one that is.
     fn hold(&mut self, held: HeldPart, told: bool, now: Duration) {
-        self.suspected.remove(&held.part);
+        self.doubts.remove(&held.part);
         if let Some(known) = self.held.get_mut(&held.part) {
             known.told |= told;
             known.held.first = known.held.first.min(held.first);
@@ -602,7 +710,11 @@
             self.release(&part, "its time is over");
         }
         if self.ends.is_empty() {
-            self.suspected.clear();
+            self.doubts.clear();
+        }
+        // Time alone may decide: VMs that know nothing say nothing.
+        if !self.doubts.is_empty() || self.held.values().any(|hold| hold.held.weak) {
+            self.evaluate(now);
         }
         self.drop_old_asks(now);
         self.allowed.retain(|_, until| now < *until);
@@ -626,11 +738,14 @@
         while let Some(held) = self.find_widened(now) {
             self.hold(held, false, now);
         }
+        self.update_doubts(now);
         while let Some(held) = self.find_part(now) {
             let evidence = self.evidence_against(&held.part, now);
             self.changes.extend(evidence.map(PartChange::Decided));
             self.hold(held, false, now);
+            self.update_doubts(now);
         }
+        self.confirm_held(now);
         self.release_explained(now);
         let held: Vec<PartId> = self.held.keys().cloned().collect();
         for part in held {
@@ -695,6 +810,9 @@
             if strong.any(|hold| self.explains(&hold.held.part, part, now)) {
                 return Some((part.clone(), None));
             }
+            if !self.decides(now) {
+                return None;
+            }
             let best = most_suspected(&self.gather(Some(part), now)).filter(|best| !best.weak)?;
             self.explains(&best.part, part, now).then(|| (part.clone(), Some(best)))
         });
@@ -714,24 +832,60 @@
             && ends.all(|end| is_at(end, part))
     }
 
-    /// Finds the part that most ends speak against, if they are enough; updates which parts are
-    /// suspected.
-    fn find_part(&mut self, now: Duration) -> Option<HeldPart> {
+    /// Finds the part that most ends speak against, if they are enough and this VM decides.
+    fn find_part(&self, now: Duration) -> Option<HeldPart> {
+        if !self.decides(now) {
+            return None;
+        }
+        let is_asked = |part: &PartId| {
+            self.doubts.get(part).is_some_and(|doubt| doubt.since + DOUBT_TERM <= now)
+        };
+        let mut latest = self.gather(None, now);
+        latest.retain(|part, known| is_asked(part) && known.stands_out());
+        most_suspected(&latest).or_else(|| {
+            let mut settled = self.gather_before(None, now.saturating_sub(DOUBT_TERM), now);
+            settled.retain(|part, _| is_asked(part));
+            most_suspected(&settled)
+        })
+    }
+
+    /// Updates which parts are in doubt: those under which nearly enough endpoints have ended.
+    fn update_doubts(&mut self, now: Duration) {
         let evidence = self.gather(None, now);
-        let found = most_suspected(&evidence);
-        let suspected: FastMap<PartId, usize> = evidence
-            .iter()
-            .filter(|(_, evidence)| evidence.ends + 1 >= UNKNOWN_PART_ENDS)
-            .map(|(part, evidence)| (PartId::clone(part), evidence.ends))
+        let suspected = evidence.iter().filter(|(_, known)| known.ends + 1 >= UNKNOWN_PART_ENDS);
+        let mut suspected: Vec<(PartId, usize, Duration)> =
+            suspected.map(|(part, known)| (PartId::clone(part), known.ends, known.first)).collect();
+        suspected.sort_by(|a, b| (b.1, &b.0).cmp(&(a.1, &a.0)));
+        suspected.truncate(MAX_DOUBTS);
+        let former = std::mem::take(&mut self.doubts);
+        for (part, ends, first) in suspected {
+            let since = former.get(&part).map(|doubt| doubt.since);
+            if since.is_none() {
+                self.changes.push(PartChange::Suspected(part.clone(), ends));
+            }
+            self.doubts.insert(part, Doubt { first, since: since.unwrap_or(now) });
+        }
+    }
+
+    /// Notes which parts that may be held back by chance have become certain.
+    fn confirm_held(&mut self, now: Duration) {
+        if !self.decides(now) {
+            return;
+        }
+        let weak = self.held.values().filter(|hold| hold.held.weak).map(|hold| &hold.held.part);
+        let certain: Vec<PartId> = weak
+            .filter(|part| {
+                let evidence = self.gather(Some(part), now);
+                evidence.get(part).is_some_and(|known| known.is_enough() && !known.is_weak())
+            })
+            .cloned()
             .collect();
-        for (part, ends) in &suspected {
-            let is_held = found.as_ref().is_some_and(|found| found.part == *part);
-            if !is_held && !self.suspected.contains_key(part) {
-                self.changes.push(PartChange::Suspected(part.clone(), *ends));
+        for part in certain {
+            if let Some(hold) = self.held.get_mut(&part) {
+                hold.held.weak = false;
+                self.changes.push(PartChange::Held(hold.held.clone()));
             }
         }
-        self.suspected = suspected;
-        found
     }
 
     /// Returns what speaks against a part that is not held back yet.
@@ -754,9 +908,19 @@
 
     /// Gathers what speaks against each part, as if `open` were not held back.
     fn gather(&self, open: Option<&PartId>, now: Duration) -> FastMap<&PartId, Evidence<'_>> {
+        self.gather_before(open, now, now)
+    }
+
+    /// Gathers the same of the ends until a time.
+    fn gather_before(
+        &self,
+        open: Option<&PartId>,
+        until: Duration,
+        now: Duration,
+    ) -> FastMap<&PartId, Evidence<'_>> {
         let mut evidence: FastMap<&PartId, Evidence<'_>> = FastMap::default();
         let mut unexplained = 0;
-        for end in self.recent_ends(now) {
+        for end in self.recent_ends(now).filter(|end| end.at <= until) {
             let is_explained = end
                 .suspects
                 .iter()
@@ -765,6 +929,8 @@
                 continue;
             }
             unexplained += 1;
+            // Other VMs may not have told the suspect yet that explains this end.
+            let may_be_explained = end.at + DOUBT_TERM > now;
             let mut counted: FastSet<&PartId> = FastSet::default();
             for suspect in &end.suspects {
                 for (place, part) in suspect.parts.iter().enumerate() {
@@ -773,10 +939,15 @@
                         sound_at: self.sound_at(part),
                         ..Evidence::default()
                     });
-                    if known.sound_at.is_some_and(|at| at >= end.at) {
+                    let is_known = known.sound_at.is_some() || !self.held.is_empty();
+                    let is_sound = known.sound_at.is_some_and(|at| at >= end.at);
+                    if is_sound || (is_known && may_be_explained) {
                         continue;
                     }
-                    known.ends += usize::from(counted.insert(part));
+                    if counted.insert(part) {
+                        known.ends += 1;
+                        known.times.push(end.at);
+                    }
                     known.requests.insert(suspect.request);
                     known.workspaces.insert(&suspect.workspace);
                     known.first = known.first.min(end.at);
@@ -795,13 +966,18 @@
 impl Evidence<'_> {
     /// Returns whether the evidence suffices to hold the part back.
     fn is_enough(&self) -> bool {
-        let requests = self.requests.len();
-        let is_strong = self.ends >= KNOWN_PART_ENDS && requests >= KNOWN_PART_REQUESTS;
-        if self.sound_at.is_some() {
-            return is_strong && self.last >= self.first + KNOWN_PART_SPAN;
+        let (requests, span) = (self.requests.len(), self.last.saturating_sub(self.first));
+        if self.moments() < MIN_MOMENTS {
+            return false;
         }
-        let is_enough = self.ends >= UNKNOWN_PART_ENDS && requests >= UNKNOWN_PART_REQUESTS;
-        is_strong || (self.stands_out() && is_enough)
+        let is_strong = self.ends >= KNOWN_PART_ENDS
+            && requests >= KNOWN_PART_REQUESTS
+            && span >= KNOWN_PART_SPAN;
+        let is_new = self.sound_at.is_none() && self.stands_out();
+        let is_enough = self.ends >= UNKNOWN_PART_ENDS
+            && requests >= UNKNOWN_PART_REQUESTS
+            && span >= UNKNOWN_PART_SPAN;
+        is_strong || (is_new && is_enough)
     }
 
     /// Returns whether few endpoints ended under other requests.
@@ -809,6 +985,27 @@
         self.ends >= self.others * MIN_ENDS_RATIO
     }
 
+    /// Returns whether the part may have been there by chance.
+    fn is_weak(&self) -> bool {
+        let is_short = self.last < self.first + KNOWN_PART_SPAN;
+        !self.stands_out() || (is_short && self.moments() < CONCLUSIVE_MOMENTS)
+    }
+
+    /// Returns the number of moments at which the endpoints ended.
+    fn moments(&self) -> usize {
+        let mut times = self.times.clone();
+        times.sort_unstable();
+        let mut began = None;
+        let starts = times.into_iter().filter(|at| {
+            let is_later = began.is_none_or(|began| began + MOMENT < *at);
+            if is_later {
+                began = Some(*at);
+            }
+            is_later
+        });
+        starts.count()
+    }
+
     fn held_part(&self, part: &PartId) -> HeldPart {
         let mut workspaces = self.workspaces.iter();
         let only = workspaces.next().filter(|_| workspaces.next().is_none());
@@ -821,7 +1018,7 @@
             last: self.last,
             ends: self.ends as u32,
             trials: 0,
-            weak: self.last < self.first + KNOWN_PART_SPAN || !self.stands_out(),
+            weak: self.is_weak(),
         }
     }
 }
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -19,7 +19,7 @@
 use bamboocourse_decide::{
     ConfigStamp, DomainId, EndpointId, FastMap, Fence, Handover, Incarnation, Lease, LeaseEvent,
     LeaseTerms, LimitNumber, OrderReply, PartId, PermitRole, QuietPeriod, Relay, RelayAppointer,
-    Roster, StoreEra, StorePosition, VmId, WorkspaceId,
+    Roster, StoreEra, StorePosition, VmId,
 };
 use log::info;
 use tokio::sync::{mpsc, watch};
@@ -30,7 +30,7 @@
 use crate::edge::{Protocol, Store, StoreError, StoreRows, Table, WriteOutcome};
 use crate::process::active_fleet::ActiveFleet;
 use crate::process::asks::{permit_grant, permit_needs};
-use crate::process::crashes::Crashes;
+use crate::process::crashes::{Crashes, ToldParts};
 use crate::process::endpoint_list::{EndpointList, ListEntry, ListUpdate};
 use crate::process::freshness::Freshness;
 use crate::process::link::OpenMessage;
@@ -170,7 +170,7 @@
     next_plan: Instant,
     plan_due: bool,
     /// The held parts of prompts that the VMs that report to this one were last told.
-    told_parts: Vec<(PartId, Option<WorkspaceId>)>,
+    told_parts: ToldParts,
     /// Present while this VM holds the lease.
     leadership: Option<Leadership>,
     /// The fence and handover of the last leader that resigned, and when its message arrived.
@@ -269,7 +269,7 @@
             news: NewsLog::default(),
             next_plan: Instant::now(),
             plan_due: false,
-            told_parts: Vec::new(),
+            told_parts: ToldParts::default(),
             leadership: None,
             handover: None,
             started: boot_now(),
@@ -701,13 +701,14 @@
         self.tell_waiting_members(now);
     }
 
-    /// Tells the VMs that report to this one which parts of prompts are held back, if that has changed.
+    /// Tells the VMs that report to this one which parts of prompts are held back or in doubt, if that has
+    /// changed.
     fn tell_held_parts(&mut self) {
-        let held = self.handles.crashes.held();
-        if held == self.told_parts {
+        let parts = self.handles.crashes.told_parts();
+        if parts == self.told_parts {
             return;
         }
-        self.told_parts = held;
+        self.told_parts = parts;
         let fence = self.leadership.as_ref().map(|leadership| leadership.fence);
         for peer in self.peers.values() {
             let (role, fence) = match (peer.position, fence) {
--- a/crates/entry/src/process/crashes.rs
+++ b/crates/entry/src/process/crashes.rs
@@ -25,6 +25,13 @@
 /// The most ends of endpoints that are logged when a part is held back.
 const MAX_LOGGED_ENDS: usize = 8;
 
+/// What is told about parts of prompts as soon as it changes.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub(crate) struct ToldParts {
+    held: Vec<(PartId, Option<WorkspaceId>, bool)>,
+    doubts: Vec<PartId>,
+}
+
 /// The log of crashes of one process, and its messages.
 #[derive(Debug)]
 pub(crate) struct Crashes {
@@ -80,11 +87,11 @@
         self.lock().has_ended(instance)
     }
 
-    /// Records that an endpoint ended before it was seen to answer a request.
-    pub(crate) fn on_end(&self, instance: EndpointInstance, prompt: Prompt) {
+    /// Records that an endpoint ended `at` a time, before it was seen to answer a request.
+    pub(crate) fn on_end(&self, instance: EndpointInstance, prompt: Prompt, at: Duration) {
         let now = boot_now();
         let (endpoint, born) = instance.clone();
-        let end = EndpointEnd { instance, at: now, suspects: vec![prompt], sound: Vec::new() };
+        let end = EndpointEnd { instance, at, suspects: vec![prompt], sound: Vec::new() };
         if self.apply(|log| log.on_end(end, now)) {
             info!(endpoint = endpoint.as_str(), born; "an endpoint has ended under requests");
             self.metrics.endpoint_ends.add(1, &[]);
@@ -150,8 +157,14 @@
 
     /// Adds to a message which parts this VM holds back.
     pub(crate) fn tell(&self, message: &mut Lead) {
+        let (log, now) = (self.lock(), boot_now());
         message.tells_parts = true;
-        message.held_parts = held_messages(&self.lock(), boot_now());
+        message.held_parts = held_messages(&log, now);
+        let doubts = log.doubts().into_iter().map(|(part, first)| wire::DoubtfulPart {
+            part: part.to_string(),
+            first_age: age(first, now),
+        });
+        message.doubts = doubts.collect();
     }
 
     /// Answers the trials that a VM which reports to this one asks for; `leads` says that this VM holds
@@ -177,7 +190,14 @@
         let now = boot_now();
         if message.tells_parts {
             let held = message.held_parts.iter().map(|held| read_held(held, now)).collect();
-            self.apply(|log| log.on_told(held, now));
+            let doubts = message.doubts.iter();
+            let doubts =
+                doubts.map(|doubt| (PartId::new(&doubt.part), time_of(doubt.first_age, now)));
+            let doubts = doubts.collect();
+            self.apply(|log| {
+                log.on_told_doubts(doubts);
+                log.on_told(held, now);
+            });
         }
         let parts = message.trials.iter().map(PartId::new);
         let allowed = parts.filter_map(|part| {
@@ -228,20 +248,27 @@
         });
     }
 
-    /// Returns the parts that are held back, in a fixed order.
-    pub(crate) fn held(&self) -> Vec<(PartId, Option<WorkspaceId>)> {
-        let held = self.lock().held().into_iter();
-        let mut held: Vec<_> = held.map(|held| (held.part, held.workspace)).collect();
-        held.sort();
-        held
+    /// Returns the parts that are held back or in doubt, in a fixed order.
+    pub(crate) fn told_parts(&self) -> ToldParts {
+        let log = self.lock();
+        let held = log.held().into_iter().map(|held| (held.part, held.workspace, held.weak));
+        let doubts = log.doubts().into_iter().map(|(part, _)| part);
+        let mut told = ToldParts { held: held.collect(), doubts: doubts.collect() };
+        told.held.sort();
+        told.doubts.sort();
+        told
     }
 
     /// Changes the log, and writes a line for each part whose state has changed.
     fn apply<T>(&self, change: impl FnOnce(&mut CrashLog) -> T) -> T {
-        let (result, changes) = {
+        let (result, changes, has_news) = {
             let mut log = self.lock();
-            (change(&mut log), log.take_changes())
+            (change(&mut log), log.take_changes(), log.take_news())
         };
+        if has_news {
+            // The next report tells it.
+            self.scheduler.shortage.notify_one();
+        }
         let now = boot_now();
         for change in changes {
             match change {
--- a/crates/entry/src/request/loss.rs
+++ b/crates/entry/src/request/loss.rs
@@ -44,6 +44,7 @@
     /// If the endpoint's process has ended before it was seen to answer the request, the request may
     /// have ended it.
     pub(super) async fn on_broken_off(&self, job: &Job, slot: &EndpointSlot, progress: Progress) {
+        let ended_at = boot_now();
         let streaming = match progress {
             Progress::Streaming(first) => first.elapsed(),
             Progress::Sent | Progress::Begun => Duration::ZERO,
@@ -71,7 +72,7 @@
                 tokio::spawn(async move {
                     tokio::time::sleep(END_CHECK_DELAY).await;
                     if crashes.has_ended(&instance) || pool.is_refused(address).await {
-                        crashes.on_end(instance, prompt);
+                        crashes.on_end(instance, prompt, ended_at);
                     }
                 });
                 return;
@@ -79,7 +80,7 @@
             // Neither accepted nor refused: the link may be cut.
             Err(_) => return,
         }
-        self.crashes.on_end(instance, job.prompt.clone());
+        self.crashes.on_end(instance, job.prompt.clone(), ended_at);
     }
 
     /// Records that an endpoint has answered a request, from `began` on.
@@ -95,7 +96,7 @@
             PromptCheck::Trial => Ok(true),
             PromptCheck::Held(held) => {
                 self.metrics.held_requests.add(1, &[]);
-                Err(Refusal::not_run(ErrorKind::PromptHeld, held_detail(&held)))
+                Err(held_refusal(&held))
             }
         }
     }
@@ -106,17 +107,35 @@
         if job.is_trial && runs == 0 {
             return None;
         }
-        let (kind, detail) = match self.crashes.check(&job.prompt) {
+        let refusal = match self.crashes.check(&job.prompt) {
             PromptCheck::Open | PromptCheck::Trial => return None,
-            PromptCheck::Held(held) => (ErrorKind::PromptHeld, held_detail(&held)),
+            PromptCheck::Held(held) => held_refusal(&held),
             PromptCheck::EndedEndpoints(ends) => {
                 let detail = format!("{ends} endpoints have ended under the request");
-                (ErrorKind::EndpointFailed, detail)
+                Refusal::not_run(ErrorKind::EndpointFailed, detail)
             }
         };
         self.metrics.held_requests.add(1, &[]);
-        let build = if runs == 0 { Refusal::not_run } else { Refusal::unknown };
-        Some(build(kind, detail))
+        if runs == 0 {
+            return Some(refusal);
+        }
+        // A request that may have run is not told to come back as if it had not.
+        let kind = match refusal.kind {
+            ErrorKind::PromptSuspected => ErrorKind::EndpointFailed,
+            kind => kind,
+        };
+        Some(Refusal::unknown(kind, refusal.detail))
+    }
+}
+
+/// Returns the refusal of a request with a part that is held back: for good where the evidence is
+/// conclusive, else until the next request that is tried has shown whether the part is sound.
+fn held_refusal(held: &HeldPart) -> Refusal {
+    match held.recheck_after(boot_now()) {
+        None => Refusal::not_run(ErrorKind::PromptHeld, held_detail(held)),
+        Some(wait) => {
+            Refusal::not_run(ErrorKind::PromptSuspected, held_detail(held)).retry_after(wait)
+        }
     }
 }
 
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -106,7 +106,7 @@
     /// The endpoints that ended under requests, of which the receiver was not told on this connection.
     #[prost(message, repeated, tag = "31")]
     pub ended: ::prost::alloc::vec::Vec<EndpointEnd>,
-    /// The parts of prompts that are held back although requests with them were answered since.
+    /// The parts of prompts that are held back or in doubt although requests with them were answered since.
     #[prost(message, repeated, tag = "32")]
     pub sound_parts: ::prost::alloc::vec::Vec<SoundPart>,
     /// The parts of prompts that the sender holds back; only in the first report of a connection.
@@ -253,6 +253,16 @@
     #[prost(uint64, tag = "2")]
     pub age: u64,
 }
+/// A part of prompts under which endpoints have ended, and that may be held back soon.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DoubtfulPart {
+    /// The id of the part.
+    #[prost(string, tag = "1")]
+    pub part: ::prost::alloc::string::String,
+    /// How long ago the first endpoint ended that counts against it, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub first_age: u64,
+}
 /// A part of prompts that is held back.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HeldPart {
@@ -485,6 +495,9 @@
     /// The held parts of prompts with which the receiver may try one request each.
     #[prost(string, repeated, tag = "36")]
     pub trials: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// All parts of prompts that the sender finds in doubt, if `tells_parts` is set.
+    #[prost(message, repeated, tag = "39")]
+    pub doubts: ::prost::alloc::vec::Vec<DoubtfulPart>,
 }
 /// The relays of the fleet.
 #[derive(Clone, PartialEq, ::prost::Message)]
