A request that lost its endpoints together with others is sent once more

Now an end at the same moment as one of an endpoint without the request does not count, up to three ends in all. Test: request_whose_endpoints_were_lost_with_others_is_sent_once_more, which fails with the former bound of two.

--- a/crates/decide/src/request/crash_log.rs
+++ b/crates/decide/src/request/crash_log.rs
@@ -72,8 +72,11 @@
 const SOUND_MEMORY: Duration = Duration::from_secs(600);
 /// How often entries are looked for that are older than that.
 const SOUND_PRUNE_INTERVAL: Duration = Duration::from_secs(30);
-/// The endpoints that a request may end before it is sent no more.
+/// The endpoints that a request may end before it is sent no more, not counting those that ended at the
+/// same moment as others that did not have it.
 const MAX_REQUEST_ENDS: usize = 2;
+/// The same, counting all.
+const MAX_SHARED_ENDS: usize = 3;
 /// How long a VM leaves decisions to the VM it reports to after that one has last told it something,
 /// and holds a part back that the other one does not.
 const UNCONFIRMED_TERM: Duration = Duration::from_secs(1);
@@ -330,7 +333,7 @@
     /// ```
     pub fn check(&mut self, request: &Prompt, now: Duration) -> PromptCheck {
         let ends = self.request_ends(request.request);
-        if ends >= MAX_REQUEST_ENDS {
+        if ends >= MAX_SHARED_ENDS || self.own_ends(request.request) >= MAX_REQUEST_ENDS {
             return PromptCheck::EndedEndpoints(ends);
         }
         if self.held.is_empty() {
@@ -430,6 +433,18 @@
         self.ends.iter().filter(|(_, end)| is_suspect(end)).count()
     }
 
+    /// Returns how many of them ended while no other endpoint did that had no such request: in the loss of a
+    /// domain, a request may lose one endpoint after the other.
+    fn own_ends(&self, request: u64) -> usize {
+        let is_suspect =
+            |end: &EndpointEnd| end.suspects.iter().any(|suspect| suspect.request == request);
+        let (with, without): (Vec<_>, Vec<_>) =
+            self.ends.iter().map(|(_, end)| end).partition(|end| is_suspect(end));
+        let is_shared =
+            |end: &EndpointEnd| without.iter().any(|other| other.at.abs_diff(end.at) <= MOMENT);
+        with.iter().filter(|end| !is_shared(end)).count()
+    }
+
     /// Returns whether it is known that an instance has ended.
     pub fn has_ended(&self, instance: &EndpointInstance) -> bool {
         self.ends.iter().any(|(_, end)| end.instance == *instance)
--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -167,6 +167,24 @@
     assert!(held(&log).is_empty());
 }
 
+// Its two endpoints were lost in the crash of a domain, and a third one can serve it.
+#[test]
+fn request_whose_endpoints_were_lost_with_others_is_sent_once_more() {
+    let mut log = CrashLog::default();
+    let request = prompt(1, &["route"]);
+    for number in 0..6 {
+        let suspects = if number % 3 == 0 {
+            vec![request.clone()]
+        } else {
+            vec![prompt(100 + number, &["route"])]
+        };
+        add(&mut log, number as usize, 1.0 + number as f64 / 50.0, &suspects);
+    }
+    assert_eq!(log.check(&request, seconds(1.2)), PromptCheck::Open);
+    add(&mut log, 7, 1.3, std::slice::from_ref(&request));
+    assert_eq!(log.check(&request, seconds(1.4)), PromptCheck::EndedEndpoints(3));
+}
+
 // review/2: a quarter of the endpoints ends twice, 50 ms apart, before any request was answered, and
 // most requests share the part of their route.
 #[test]
