Bodies of callers take at most half of a VM's memory together

Change: the process learns memory_mb; bodies are collected in blocks and counted against half of it for as long as their requests are open. One that finds no room is refused at once as not run (503 with Retry-After), whatever else runs goes on.

--- a/crates/entry/src/edge/blocks.rs
+++ b/crates/entry/src/edge/blocks.rs
@@ -1,6 +1,10 @@
 //! The bytes of a message whose length is not known in advance.
 
 use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+
+use crate::edge::budget::{ByteBudget, Reservation};
 
 /// The size of a block, in bytes.
 const BLOCK_BYTES: usize = 64 << 10;
@@ -47,3 +51,40 @@
         joined.freeze()
     }
 }
+
+/// Why a body was not read.
+#[derive(Debug)]
+pub(crate) enum CollectError {
+    /// It is longer than the limit.
+    TooLarge,
+    /// The process has no memory left for it.
+    NoMemory,
+    /// Its connection failed within it.
+    Broken(hyper::Error),
+}
+
+/// Reads a complete body of at most `limit` bytes; the reservation of its memory is to be dropped with it.
+pub(crate) async fn collect(
+    mut body: Incoming,
+    limit: usize,
+    budget: &ByteBudget,
+) -> Result<(Bytes, Reservation), CollectError> {
+    if body.size_hint().lower() > limit as u64 {
+        return Err(CollectError::TooLarge);
+    }
+    let mut reserved = budget.reserve();
+    let mut bytes = Blocks::default();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(CollectError::Broken)?;
+        let Some(data) = frame.data_ref() else { continue };
+        let length = bytes.len() + data.len();
+        if length > limit {
+            return Err(CollectError::TooLarge);
+        }
+        if !reserved.cover(length) {
+            return Err(CollectError::NoMemory);
+        }
+        bytes.extend(data);
+    }
+    Ok((bytes.freeze(), reserved))
+}
--- a/crates/entry/src/edge/budget.rs
+++ b/crates/entry/src/edge/budget.rs
@@ -10,12 +10,20 @@
 /// and the number of connections bounds their sum.
 pub(crate) const UNCOUNTED_BYTES: usize = 64 << 10;
 
+/// The part of a VM's memory that bodies of callers may take, in percent: the rest is for the process itself,
+/// the buffers of its connections and the messages of endpoints, the store and other VMs.
+const CALLER_BODIES_PERCENT: u64 = 50;
+
 /// The memory that is left for large messages; clones share it.
 ///
 /// Other processes can send bytes without end on many connections. Each message has a limit of its
 /// own, and the budget bounds their sum.
 #[derive(Debug, Clone)]
-pub(crate) struct ByteBudget(Arc<AtomicUsize>);
+pub(crate) struct ByteBudget {
+    left: Arc<AtomicUsize>,
+    /// The part of each message that is not counted, in bytes.
+    uncounted: usize,
+}
 
 /// A part of a budget, which is given back when this is dropped.
 #[derive(Debug)]
@@ -27,7 +35,13 @@
 impl ByteBudget {
     /// Creates a budget of [`TOTAL_BYTES`].
     pub(crate) fn new() -> Self {
-        Self(Arc::new(AtomicUsize::new(TOTAL_BYTES)))
+        Self { left: Arc::new(AtomicUsize::new(TOTAL_BYTES)), uncounted: UNCOUNTED_BYTES }
+    }
+
+    /// Creates the budget for the bodies of callers of a VM with this memory, in bytes.
+    pub(crate) fn for_callers(memory: u64) -> Self {
+        let bytes = usize::try_from(memory / 100 * CALLER_BODIES_PERCENT).unwrap_or(usize::MAX);
+        Self { left: Arc::new(AtomicUsize::new(bytes)), uncounted: 0 }
     }
 
     /// Creates a reservation of nothing, which can grow.
@@ -40,9 +54,10 @@
     /// Makes the reservation large enough for a message of `length` bytes; returns whether the
     /// budget has room for it.
     pub(crate) fn cover(&mut self, length: usize) -> bool {
-        let missing = length.saturating_sub(UNCOUNTED_BYTES).saturating_sub(self.bytes);
+        let missing = length.saturating_sub(self.budget.uncounted).saturating_sub(self.bytes);
         let take = |left: usize| left.checked_sub(missing);
-        let taken = self.budget.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok();
+        let taken =
+            self.budget.left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok();
         self.bytes += if taken { missing } else { 0 };
         taken
     }
@@ -50,6 +65,6 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.budget.0.fetch_add(self.bytes, Ordering::Relaxed);
+        self.budget.left.fetch_add(self.bytes, Ordering::Relaxed);
     }
 }
--- a/crates/entry/src/edge/pool.rs
+++ b/crates/entry/src/edge/pool.rs
@@ -10,14 +10,14 @@
 
 use bamboocourse_decide::FastMap;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::time::Instant;
 
-use crate::edge::blocks::Blocks;
+use crate::edge::blocks::{self, CollectError};
 use crate::edge::budget::ByteBudget;
 use crate::edge::socket::{self, FirstByte};
 
@@ -94,22 +94,12 @@
     /// # Errors
     /// Returns an error if the body is longer or the process has no memory left for it, or if the
     /// connection closes within the body.
-    pub async fn read_body(&self, mut body: Incoming, limit: usize) -> Result<Bytes, ReadError> {
-        if body.size_hint().lower() > limit as u64 {
-            return Err(ReadError::TooLarge);
+    pub async fn read_body(&self, body: Incoming, limit: usize) -> Result<Bytes, ReadError> {
+        match blocks::collect(body, limit, &self.pool.budget).await {
+            Ok((bytes, _)) => Ok(bytes),
+            Err(CollectError::TooLarge | CollectError::NoMemory) => Err(ReadError::TooLarge),
+            Err(CollectError::Broken(_)) => Err(ReadError::Broken),
         }
-        let mut reserved = self.pool.budget.reserve();
-        let mut bytes = Blocks::default();
-        while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else { return Err(ReadError::Broken) };
-            let Some(data) = frame.data_ref() else { continue };
-            let length = bytes.len() + data.len();
-            if length > limit || !reserved.cover(length) {
-                return Err(ReadError::TooLarge);
-            }
-            bytes.extend(data);
-        }
-        Ok(bytes.freeze())
     }
 
     /// Returns whether the connection carried another response before this one, of which the remote
--- a/crates/entry/src/process/settings.rs
+++ b/crates/entry/src/process/settings.rs
@@ -30,6 +30,8 @@
     pub domains: usize,
     /// How large the VM is, in any unit; relays are the larger VMs.
     pub capacity: u64,
+    /// The memory that the process may take, in bytes.
+    pub memory: u64,
     /// The limits that the deployment sets.
     pub bounds: Bounds,
 }
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -13,6 +13,7 @@
 
 use crate::connection::callers::CallerServer;
 use crate::connection::status::{self, Readiness, StatusPage};
+use crate::edge::budget::ByteBudget;
 use crate::edge::clock::unix_millis;
 use crate::edge::pool::Pool;
 use crate::edge::{Protocol, Store};
@@ -106,6 +107,7 @@
             scheduler: scheduler.clone(),
             quotas: quotas.clone(),
             crashes: crashes.clone(),
+            caller_budget: ByteBudget::for_callers(settings.memory),
             pool: pool.clone(),
             metrics: metrics.clone(),
             freshness: freshness.clone(),
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -23,10 +23,12 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use crate::edge::blocks::{self, CollectError};
+use crate::edge::budget::{ByteBudget, Reservation};
 use crate::edge::clock::boot_now;
 use crate::edge::pool::Pool;
 use crate::edge::{CallerRequest, Protocol, model_name};
@@ -78,6 +80,8 @@
     /// The number of requests whose response is not complete yet.
     pub(crate) open: OpenCount,
     pub(crate) shutdown: Shutdown,
+    /// The memory for the bodies of open requests.
+    pub(crate) caller_budget: ByteBudget,
 }
 
 /// A request that has been read and whose tokens have been admitted.
@@ -85,6 +89,8 @@
 pub(crate) struct Job {
     pub(crate) request: CallerRequest,
     pub(crate) body: Bytes,
+    /// The memory of the body, which is free again once the request is not open any more.
+    _memory: Arc<Reservation>,
     pub(crate) route: FleetRoute,
     pub(crate) service: ServiceId,
     pub(crate) workspace: Option<WorkspaceId>,
@@ -208,7 +214,7 @@
             deadline
         };
         let limit = fleet.limits.body_bytes;
-        let body = read_caller_body(body, limit, deadline).await?;
+        let (body, memory) = self.read_caller_body(body, limit, deadline).await?;
         let urgency = workspace.and_then(|workspace| workspace.urgency).unwrap_or(route.urgency);
         let prompt = Prompt {
             request: hash_of(&request.id),
@@ -248,6 +254,7 @@
         }
         let job = Job {
             body,
+            _memory: Arc::new(memory),
             route: route.clone(),
             service: service.clone(),
             workspace: workspace.map(|workspace| workspace.name.clone()),
@@ -265,6 +272,35 @@
         Ok((job, admission))
     }
 
+    /// Reads the body of a request, and reserves its memory for as long as the request is open.
+    async fn read_caller_body(
+        &self,
+        body: Incoming,
+        limit: usize,
+        deadline: Instant,
+    ) -> Result<(Bytes, Reservation), Refusal> {
+        let reading = blocks::collect(body, limit, &self.caller_budget);
+        let Ok(read) = tokio::time::timeout_at(deadline, reading).await else {
+            let detail = "the body came too slowly";
+            return Err(Refusal::not_run(ErrorKind::RequestTimeout, detail));
+        };
+        read.map_err(|error| match error {
+            CollectError::TooLarge => {
+                let detail = format!("the limit is {limit} bytes");
+                Refusal::not_run(ErrorKind::BodyTooLarge, detail)
+            }
+            CollectError::NoMemory => {
+                self.metrics.count_unavailable("memory");
+                let detail = "the bodies of open requests take all memory that they may take";
+                Refusal::not_run(ErrorKind::Overloaded, detail).retry_after(DEFAULT_RETRY_AFTER)
+            }
+            CollectError::Broken(error) => {
+                let detail = format!("the body cannot be read: {error}");
+                Refusal::not_run(ErrorKind::BadRequest, detail)
+            }
+        })
+    }
+
     /// Returns the refusal of a request that no endpoint has run, if the process may end before it does.
     fn check_grace(&self, job: &Job, runs: u32) -> Option<Refusal> {
         if runs > 0 || !self.shutdown.may_cut(job.deadline) {
@@ -480,27 +516,6 @@
     }
 }
 
-/// Reads a caller's body of at most `limit` bytes before the request's deadline.
-async fn read_caller_body(
-    body: Incoming,
-    limit: usize,
-    deadline: Instant,
-) -> Result<Bytes, Refusal> {
-    let reading = tokio::time::timeout_at(deadline, Limited::new(body, limit).collect());
-    match reading.await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let detail = format!("the limit is {limit} bytes");
-            Err(Refusal::not_run(ErrorKind::BodyTooLarge, detail))
-        }
-        Ok(Err(error)) => {
-            let detail = format!("the body cannot be read: {error}");
-            Err(Refusal::not_run(ErrorKind::BadRequest, detail))
-        }
-        Err(_) => Err(Refusal::not_run(ErrorKind::RequestTimeout, "the body came too slowly")),
-    }
-}
-
 fn build_response(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
