A caller whose body finds no memory can read the refusal

The rest of such a body is now read and discarded, within max_body_bytes and the deadline. Bodies of servers without memory are closed unread, as before.

--- a/crates/entry/src/edge/blocks.rs
+++ b/crates/entry/src/edge/blocks.rs
@@ -19,11 +19,6 @@
 }
 
 impl Blocks {
-    /// The number of bytes.
-    pub(crate) fn len(&self) -> usize {
-        self.length
-    }
-
     /// Appends bytes.
     pub(crate) fn extend(&mut self, mut data: &[u8]) {
         self.length += data.len();
@@ -63,28 +58,43 @@
     Broken(hyper::Error),
 }
 
+/// What becomes of a body for which there is no memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Excess {
+    /// It is not read any further.
+    Unread,
+    /// It is read to its end and discarded: a caller reads no response before it has written its body,
+    /// and a connection that is closed first is reset.
+    Discarded,
+}
+
 /// Reads a complete body of at most `limit` bytes; the reservation of its memory is to be dropped with it.
 pub(crate) async fn collect(
     mut body: Incoming,
     limit: usize,
     budget: &ByteBudget,
+    excess: Excess,
 ) -> Result<(Bytes, Reservation), CollectError> {
     if body.size_hint().lower() > limit as u64 {
         return Err(CollectError::TooLarge);
     }
     let mut reserved = budget.reserve();
-    let mut bytes = Blocks::default();
+    let mut bytes = Some(Blocks::default());
+    let mut length = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(CollectError::Broken)?;
         let Some(data) = frame.data_ref() else { continue };
-        let length = bytes.len() + data.len();
+        length += data.len();
         if length > limit {
             return Err(CollectError::TooLarge);
         }
-        if !reserved.cover(length) {
-            return Err(CollectError::NoMemory);
+        match &mut bytes {
+            Some(bytes) if reserved.cover(length) => bytes.extend(data),
+            Some(_) if excess == Excess::Unread => return Err(CollectError::NoMemory),
+            Some(_) => (bytes, reserved) = (None, budget.reserve()),
+            None => {}
         }
-        bytes.extend(data);
     }
+    let bytes = bytes.ok_or(CollectError::NoMemory)?;
     Ok((bytes.freeze(), reserved))
 }
--- a/crates/entry/src/edge/pool.rs
+++ b/crates/entry/src/edge/pool.rs
@@ -17,7 +17,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::time::Instant;
 
-use crate::edge::blocks::{self, CollectError};
+use crate::edge::blocks::{self, CollectError, Excess};
 use crate::edge::budget::ByteBudget;
 use crate::edge::socket::{self, FirstByte};
 
@@ -95,7 +95,7 @@
     /// Returns an error if the body is longer or the process has no memory left for it, or if the
     /// connection closes within the body.
     pub async fn read_body(&self, body: Incoming, limit: usize) -> Result<Bytes, ReadError> {
-        match blocks::collect(body, limit, &self.pool.budget).await {
+        match blocks::collect(body, limit, &self.pool.budget, Excess::Unread).await {
             Ok((bytes, _)) => Ok(bytes),
             Err(CollectError::TooLarge | CollectError::NoMemory) => Err(ReadError::TooLarge),
             Err(CollectError::Broken(_)) => Err(ReadError::Broken),
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -27,7 +27,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use crate::edge::blocks::{self, CollectError};
+use crate::edge::blocks::{self, CollectError, Excess};
 use crate::edge::budget::{ByteBudget, Reservation};
 use crate::edge::clock::boot_now;
 use crate::edge::pool::Pool;
@@ -279,7 +279,7 @@
         limit: usize,
         deadline: Instant,
     ) -> Result<(Bytes, Reservation), Refusal> {
-        let reading = blocks::collect(body, limit, &self.caller_budget);
+        let reading = blocks::collect(body, limit, &self.caller_budget, Excess::Discarded);
         let Ok(read) = tokio::time::timeout_at(deadline, reading).await else {
             let detail = "the body came too slowly";
             return Err(Refusal::not_run(ErrorKind::RequestTimeout, detail));
