--- a/crates/entry/src/edge/budget.rs
+++ b/crates/entry/src/edge/budget.rs
@@ -10,9 +10,11 @@
 /// and the number of connections bounds their sum.
 pub(crate) const UNCOUNTED_BYTES: usize = 64 << 10;
 
-/// The part of a VM's memory that bodies of callers may take, in percent: the rest is for the process itself,
-/// the buffers of its connections and the messages of endpoints, the store and other VMs.
-const CALLER_BODIES_PERCENT: u64 = 50;
+/// The memory that is not for bodies of callers, in bytes: that of the process itself, the buffers of its
+/// connections and the messages of endpoints, the store and other VMs.
+const RESERVED_BYTES: u64 = 80_000_000;
+/// The least part of a VM's memory that is for bodies of callers.
+const LEAST_BODIES_DIVISOR: u64 = 4;
 
 /// The memory that is left for large messages; clones share it.
 ///
@@ -40,7 +42,8 @@
 
     /// Creates the budget for the bodies of callers of a VM with this memory, in bytes.
     pub(crate) fn for_callers(memory: u64) -> Self {
-        let bytes = usize::try_from(memory / 100 * CALLER_BODIES_PERCENT).unwrap_or(usize::MAX);
+        let bytes = memory.saturating_sub(RESERVED_BYTES).max(memory / LEAST_BODIES_DIVISOR);
+        let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
         Self { left: Arc::new(AtomicUsize::new(bytes)), uncounted: 0 }
     }
 
