Logs: the open requests of a VM that leaves, and connections closed with bytes left

A connection that is closed with bytes of which no request was made has a line and a counter. The line of each request says how long after SIGTERM it was read.

--- a/crates/entry/src/connection/callers.rs
+++ b/crates/entry/src/connection/callers.rs
@@ -2,6 +2,8 @@
 
 use std::cell::OnceCell;
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,11 +13,13 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use log::warn;
+use log::{info, warn};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::edge::socket;
 use crate::process::active_fleet::ActiveFleet;
+use crate::process::metrics::Metrics;
 use crate::process::shutdown::{OpenCount, Phase, Shutdown};
 use crate::request::{Body, Pipeline};
 
@@ -36,6 +40,7 @@
     pub(crate) shutdown: Shutdown,
     /// The connections that have carried a request and are not closed yet.
     pub(crate) connections: OpenCount,
+    pub(crate) metrics: Arc<Metrics>,
 }
 
 impl CallerServer {
@@ -78,22 +83,39 @@
         let service = service_fn(move |request| {
             // The service lives as long as the connection.
             open.get_or_init(|| connections.enter());
-            handle(pipeline.clone(), shutdown.clone(), request)
+            Box::pin(handle(pipeline.clone(), shutdown.clone(), request))
         });
-        let connection = http1::Builder::new()
+        let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(idle_timeout)
             .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(connection);
-        tokio::select! {
-            // An error of the connection concerns only its caller; each request is logged by itself.
-            _ = connection.as_mut() => return,
-            () = self.shutdown.reached(Phase::Closing) => {}
+        // An error of the connection concerns only its caller; each request is logged by itself.
+        let is_done = tokio::select! {
+            _ = poll_fn(|cx| connection.poll_without_shutdown(cx)) => true,
+            () = self.shutdown.reached(Phase::Closing) => false,
+        };
+        if !is_done {
+            Pin::new(&mut connection).graceful_shutdown();
+            let _ = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
         }
-        connection.as_mut().graceful_shutdown();
-        // The error is ignored for the same reason as above.
-        let _ = connection.await;
+        let parts = connection.into_parts();
+        self.close(parts.io.into_inner(), parts.read_buf.len()).await;
+    }
+
+    /// Closes a connection; `read` counts the bytes that were read and of which no request was made.
+    async fn close(&self, mut stream: TcpStream, read: usize) {
+        let arriving = stream.try_read(&mut [0; 64]).unwrap_or(0);
+        if read + arriving > 0 {
+            self.metrics.count_closed_unread(if read > 0 { "read" } else { "arriving" });
+            if self.shutdown.phase() != Phase::Serving {
+                let peer = stream.peer_addr().map_or_else(|_| String::new(), |a| a.to_string());
+                info!(peer = peer.as_str(), read, arriving;
+                    "a caller's connection is closed with bytes of which no request was made");
+            }
+        }
+        // The caller may have closed it already.
+        let _ = stream.shutdown().await;
     }
 }
 
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -67,6 +67,7 @@
     limited: Gauge<u64>,
     pub(crate) limited_answers: Counter<u64>,
     permits: Counter<u64>,
+    closed_unread: Counter<u64>,
 }
 
 impl Metrics {
@@ -113,6 +114,11 @@
                 "permits",
                 "permits for endpoints with limits, by what became",
             ),
+            closed_unread: counter(
+                &meter,
+                "closed_unread",
+                "connections of callers that were closed with bytes that no request was made of",
+            ),
             limited_answers: counter(
                 &meter,
                 "limited_answers",
@@ -171,6 +177,12 @@
         self.unavailable.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a caller's connection that was closed with bytes `of` which no request was made: `read` by
+    /// the process, or still `arriving`.
+    pub(crate) fn count_closed_unread(&self, of: &'static str) {
+        self.closed_unread.add(1, &[KeyValue::new("bytes", of)]);
+    }
+
     /// Counts permits that were `issued` by this leader, or `used` by requests of this VM.
     pub(crate) fn count_permits(&self, kind: &'static str, count: u32) {
         self.permits.add(u64::from(count), &[KeyValue::new("kind", kind)]);
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod freshness;
 pub(crate) mod link;
 pub(crate) mod metrics;
+pub(crate) mod open_requests;
 pub(crate) mod quotas;
 pub(crate) mod roster;
 pub(crate) mod scheduler;
--- a/crates/entry/src/process/shutdown.rs
+++ b/crates/entry/src/process/shutdown.rs
@@ -32,6 +32,8 @@
 /// The times of a shutdown.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LeaveTimes {
+    /// When the process was told to leave.
+    pub(crate) began: Instant,
     /// Until when requests may wait for an endpoint.
     pub(crate) waits_until: Instant,
     /// When the requests that still run are ended.
@@ -46,7 +48,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Shutdown(watch::Receiver<Stage>);
 
-/// How many requests or connections are open; clones share the count.
+/// How many connections are open; clones share the count.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct OpenCount(Arc<AtomicUsize>);
 
@@ -97,6 +99,12 @@
         self.0.borrow().phase
     }
 
+    /// Returns how long the process had been leaving at a time, in milliseconds; -1 if it had not been.
+    pub(crate) fn leaving_ms(&self, at: Instant) -> i64 {
+        let times = self.0.borrow().times.filter(|times| times.began <= at);
+        times.map_or(-1, |times| (at - times.began).as_millis() as i64)
+    }
+
     /// Returns how long requests may still wait for an endpoint; `None` if the process is not leaving.
     pub(crate) fn waiting_time(&self) -> Option<Duration> {
         let until = self.0.borrow().times?.waits_until;
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -26,6 +26,7 @@
 use crate::process::freshness::Freshness;
 use crate::process::link::{self, LeaderLink, PeerServices};
 use crate::process::metrics::Metrics;
+use crate::process::open_requests::OpenRequests;
 use crate::process::quotas::Quotas;
 use crate::process::roster::RosterView;
 use crate::process::scheduler::Scheduler;
@@ -52,7 +53,7 @@
     settings: Arc<EntrySettings>,
     shutdown: ShutdownSender,
     /// The requests whose response is not complete yet.
-    requests: OpenCount,
+    requests: OpenRequests,
     /// The callers' connections that have carried a request.
     connections: OpenCount,
     quotas: Arc<Quotas>,
@@ -100,7 +101,7 @@
             Arc::new(EndpointList::new(protocol.clone(), scheduler.clone(), events.clone(), delay));
         let (shutdown_sender, shutdown) = shutdown::channel();
         let (leader, leader_receiver) = watch::channel(None);
-        let (requests, connections) = (OpenCount::default(), OpenCount::default());
+        let (requests, connections) = (OpenRequests::default(), OpenCount::default());
         let pipeline = Arc::new(Pipeline {
             protocol: protocol.clone(),
             active_fleet: active_fleet.clone(),
@@ -160,6 +161,7 @@
             active_fleet: active_fleet.clone(),
             shutdown,
             connections: connections.clone(),
+            metrics: metrics.clone(),
         };
         let mut tasks = JoinSet::new();
         let address = front.local_addr()?;
@@ -212,9 +214,10 @@
         let schedule = ShutdownSchedule::new(self.settings.bounds.grace);
         let started = Instant::now();
         let (waits_until, end) = (started + schedule.wait, started + schedule.end);
-        let times = LeaveTimes { waits_until, ends_at: end };
-        info!(vm = self.settings.vm.as_str(), requests = self.requests.get(),
+        let times = LeaveTimes { began: started, waits_until, ends_at: end };
+        info!(vm = self.settings.vm.as_str(), requests = self.requests.len(),
             connections = self.connections.get(); "the VM is leaving");
+        self.requests.log("start");
         self.shutdown.leave(times);
         // The receiver is gone only while the process shuts down.
         let _ = self.events.send(CoordinatorEvent::Leave);
@@ -229,9 +232,10 @@
             tokio::time::sleep_until(end.min(Instant::now() + LEAVE_CHECK_INTERVAL)).await;
         }
         if self.is_busy() {
-            warn!(vm = self.settings.vm.as_str(), requests = self.requests.get(),
+            warn!(vm = self.settings.vm.as_str(), requests = self.requests.len(),
                 connections = self.connections.get();
                 "the grace period is over while requests still run");
+            self.requests.log("end");
         }
         self.shutdown.enter(Phase::Ending);
         let end = Instant::now() + FINAL_RESPONSE_TIME;
@@ -246,7 +250,7 @@
 
     /// Returns whether a request runs, or a response is still being written to its caller.
     fn is_busy(&self) -> bool {
-        self.requests.get() > 0 || self.connections.get() > 0
+        self.requests.len() > 0 || self.connections.get() > 0
     }
 }
 
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -36,9 +36,10 @@
 use crate::process::crashes::Crashes;
 use crate::process::freshness::Freshness;
 use crate::process::metrics::Metrics;
+use crate::process::open_requests::{OpenRequests, Stage};
 use crate::process::quotas::{Quotas, TokenGrant, TokensRefused};
 use crate::process::scheduler::{EndpointSlot, Scheduler};
-use crate::process::shutdown::{OpenCount, Phase, Shutdown};
+use crate::process::shutdown::{Phase, Shutdown};
 
 use self::loss::Progress;
 use self::relay::Relay;
@@ -77,8 +78,8 @@
     pub(crate) pool: Pool,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) freshness: Arc<Freshness>,
-    /// The number of requests whose response is not complete yet.
-    pub(crate) open: OpenCount,
+    /// The requests whose response is not complete yet.
+    pub(crate) open: OpenRequests,
     pub(crate) shutdown: Shutdown,
     /// The memory for the bodies of open requests.
     pub(crate) caller_budget: ByteBudget,
@@ -140,7 +141,7 @@
     pub(crate) async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
-        let open = self.open.enter();
+        let open = self.open.enter(arrived);
         let mut trace = Trace::new(&self, open, arrived);
         let request = match self.protocol.read_request(&head) {
             Ok(request) => request,
@@ -215,6 +216,7 @@
         };
         let limit = fleet.limits.body_bytes;
         let (body, memory) = self.read_caller_body(body, limit, deadline).await?;
+        trace.begin(Stage::Admission);
         let urgency = workspace.and_then(|workspace| workspace.urgency).unwrap_or(route.urgency);
         let prompt = Prompt {
             request: hash_of(&request.id),
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -25,6 +25,7 @@
 use super::{Body, Job, Pipeline};
 use crate::edge::pool::PooledConnection;
 use crate::edge::{EventSpan, Protocol};
+use crate::process::open_requests::Stage;
 use crate::process::scheduler::EndpointSlot;
 use crate::process::shutdown::Phase;
 
@@ -119,6 +120,7 @@
         let chunks = stream::unfold(Some(self), |relay| async move {
             let mut relay = relay?;
             let shutdown = relay.pipeline.shutdown.clone();
+            relay.trace.begin(Stage::Streaming);
             let next = tokio::select! {
                 next = relay.next_events() => next,
                 () = shutdown.reached(Phase::Ending) => Some(Err("the VM is shutting down")),
--- a/crates/entry/src/request/trace.rs
+++ b/crates/entry/src/request/trace.rs
@@ -13,7 +13,8 @@
 use crate::edge::{CallerRequest, Table, model_name};
 use crate::process::freshness::Freshness;
 use crate::process::metrics::Metrics;
-use crate::process::shutdown::{OpenGuard, Phase, Shutdown};
+use crate::process::open_requests::{OpenRequest, Stage};
+use crate::process::shutdown::{Phase, Shutdown};
 
 /// The largest number of notes in a request's log line.
 const MAX_NOTES: usize = 6;
@@ -23,7 +24,7 @@
     metrics: Arc<Metrics>,
     freshness: Arc<Freshness>,
     shutdown: Shutdown,
-    _open: Arc<OpenGuard>,
+    open: Arc<OpenRequest>,
     arrived: Instant,
     record: Option<Box<Record>>,
 }
@@ -54,12 +55,12 @@
 }
 
 impl Trace {
-    pub(super) fn new(pipeline: &Pipeline, open: OpenGuard, arrived: Instant) -> Self {
+    pub(super) fn new(pipeline: &Pipeline, open: OpenRequest, arrived: Instant) -> Self {
         Self {
             metrics: pipeline.metrics.clone(),
             freshness: pipeline.freshness.clone(),
             shutdown: pipeline.shutdown.clone(),
-            _open: Arc::new(open),
+            open: Arc::new(open),
             arrived,
             record: Some(Box::default()),
         }
@@ -69,12 +70,19 @@
         let Some(record) = &mut self.record else { return };
         record.id = request.id.clone();
         record.model = model_name(request.target.as_ref());
+        self.open.update(|standing| standing.id = request.id.clone());
     }
 
     pub(super) fn set_route(&mut self, route: &FleetRoute, version: VersionId) {
         let Some(record) = &mut self.record else { return };
         record.route = route.name.clone();
         record.version = version;
+        self.open.update(|standing| standing.route = route.name.clone());
+    }
+
+    /// Records what the request is doing from now on.
+    pub(super) fn begin(&self, stage: Stage) {
+        self.open.update(|standing| standing.stage = stage);
     }
 
     pub(super) fn set_job(&mut self, job: &Job) {
@@ -102,6 +110,7 @@
         if let Some(record) = &mut self.record {
             record.waits_since = Some(Instant::now());
         }
+        self.begin(Stage::Waiting);
     }
 
     /// Records that the wait for a slot has ended.
@@ -119,6 +128,11 @@
         record.sends += 1;
         record.endpoint = endpoint.clone();
         record.utilization = utilization;
+        self.open.update(|standing| {
+            standing.stage = Stage::Sent;
+            standing.endpoint = endpoint.clone();
+            standing.sent = Some(Instant::now());
+        });
     }
 
     /// Takes back the last send, of which nothing was written.
@@ -144,11 +158,16 @@
         self.record.as_ref().is_some_and(|record| record.first.is_some())
     }
 
-    /// Counts a forwarded chunk of events.
+    /// Counts a forwarded chunk of events, which is written once the caller has room for it.
     pub(super) fn count_event(&mut self) {
         if let Some(record) = &mut self.record {
             record.events += 1;
         }
+        self.open.update(|standing| {
+            standing.stage = Stage::Caller;
+            standing.events += 1;
+            standing.last = Some(Instant::now());
+        });
     }
 
     /// Adds a note to the log line, which keeps only the first [`MAX_NOTES`].
@@ -182,12 +201,12 @@
     /// Moves the record into a new trace, for a stream that ends later.
     pub(super) fn take(&mut self) -> Trace {
         let record = self.record.take();
-        let (open, shutdown) = (self._open.clone(), self.shutdown.clone());
+        let (open, shutdown) = (self.open.clone(), self.shutdown.clone());
         Trace {
             metrics: self.metrics.clone(),
             freshness: self.freshness.clone(),
             shutdown,
-            _open: open,
+            open,
             arrived: self.arrived,
             record,
         }
@@ -236,6 +255,7 @@
             waited_ms = record.waited.as_millis() as u64,
             first_ms = record.first.map(|first| first.as_millis() as u64).unwrap_or(0),
             total_ms = self.arrived.elapsed().as_millis() as u64,
+            leaving_ms = self.shutdown.leaving_ms(self.arrived),
             after_ms = retry_after.map(|after| after.as_millis() as u64).unwrap_or(0),
             notes = record.notes.join(", ").as_str(), detail; "a request has ended");
     }
