A request that was read behind a stream is answered while its VM leaves

Callers on kept connections got no answer to a request that they sent while a stream on the connection still ran, if the stream ended 2.6 s after SIGTERM or later: the VM had read its bytes and closed the connection after the stream. The head of that stream was sent before SIGTERM, so nothing had asked its caller to close the connection. No line was written.

Cause: all connections were told to end after their present response as the VM closes, whether or not its head says so. Now a connection with a response whose head does not ask to close it stays until that response has ended; a request that is there by then is served or refused, and its head asks to close.

Test: request_behind_a_stream_is_answered_while_its_vm_leaves failed before (the connection ended after the first response).

--- a/crates/entry/src/connection/callers.rs
+++ b/crates/entry/src/connection/callers.rs
@@ -5,9 +5,11 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use http::header::{CONNECTION, HeaderValue};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -16,6 +18,7 @@
 use log::{info, warn};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 use crate::edge::socket;
 use crate::process::active_fleet::ActiveFleet;
@@ -43,6 +46,38 @@
     pub(crate) metrics: Arc<Metrics>,
 }
 
+/// Whether a connection has a response whose head did not ask the caller to close it. Such a caller may
+/// have sent its next request by the end of the response; clones share the state.
+#[derive(Debug, Clone, Default)]
+struct KeptResponse(Arc<(AtomicBool, Notify)>);
+
+impl KeptResponse {
+    fn begin(&self) {
+        self.0.0.store(true, Ordering::Relaxed);
+    }
+
+    fn end(&self) {
+        self.0.0.store(false, Ordering::Relaxed);
+        self.0.1.notify_one();
+    }
+
+    /// Waits until there is no such response.
+    async fn ended(&self) {
+        while self.0.0.load(Ordering::Relaxed) {
+            self.0.1.notified().await;
+        }
+    }
+}
+
+/// Ends the response when it is dropped.
+struct KeptGuard(KeptResponse);
+
+impl Drop for KeptGuard {
+    fn drop(&mut self) {
+        self.0.end();
+    }
+}
+
 impl CallerServer {
     /// Accepts connections until [`Phase::Closing`]: requests on later connections might not be
     /// finished before the process ends.
@@ -80,10 +115,12 @@
             .map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout.max(limits.header_timeout));
         let (pipeline, shutdown) = (self.pipeline.clone(), self.shutdown.clone());
         let (connections, open) = (self.connections.clone(), OnceCell::new());
+        let kept = KeptResponse::default();
+        let own_kept = kept.clone();
         let service = service_fn(move |request| {
             // The service lives as long as the connection.
             open.get_or_init(|| connections.enter());
-            Box::pin(handle(pipeline.clone(), shutdown.clone(), request))
+            Box::pin(handle(pipeline.clone(), shutdown.clone(), own_kept.clone(), request))
         });
         let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -93,7 +130,7 @@
         // An error of the connection concerns only its caller; each request is logged by itself.
         let is_done = tokio::select! {
             _ = poll_fn(|cx| connection.poll_without_shutdown(cx)) => true,
-            () = self.shutdown.reached(Phase::Closing) => false,
+            () = self.may_close(&kept) => false,
         };
         if !is_done {
             Pin::new(&mut connection).graceful_shutdown();
@@ -103,6 +140,12 @@
         self.close(parts.io.into_inner(), parts.read_buf.len()).await;
     }
 
+    /// Waits until a connection may be closed by this VM.
+    async fn may_close(&self, kept: &KeptResponse) {
+        self.shutdown.reached(Phase::Closing).await;
+        kept.ended().await;
+    }
+
     /// Closes a connection; `read` counts the bytes that were read and of which no request was made.
     async fn close(&self, mut stream: TcpStream, read: usize) {
         let arriving = stream.try_read(&mut [0; 64]).unwrap_or(0);
@@ -123,11 +166,21 @@
 async fn handle(
     pipeline: Arc<Pipeline>,
     shutdown: Shutdown,
+    kept: KeptResponse,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
+    kept.begin();
+    let guard = KeptGuard(kept);
     let mut response = pipeline.handle(request).await;
     if shutdown.phase() != Phase::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        return Ok(response);
     }
-    Ok(response)
+    Ok(response.map(|body| {
+        let guarded = body.map_frame(move |frame| {
+            let _held = &guard;
+            frame
+        });
+        guarded.boxed_unsync()
+    }))
 }
