A connection that was opened as its VM stops accepting gets an answer to its first request

Callers that connect to a VM in the last moments before it closes (2.6 s after SIGTERM) got no answer: a connection without a request was closed at once, though its first request was on the way, and those that had not been accepted yet were reset with the listener. The caller can't tell whether its request was read. No line was written.

Now the VM accepts what waits at its listener as it closes it, and a connection has half a second from its start for its first request, which is then served or refused, and asked to close.

--- a/crates/entry/src/connection/callers.rs
+++ b/crates/entry/src/connection/callers.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use http::header::{CONNECTION, HeaderValue};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -19,6 +20,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::edge::socket;
 use crate::process::active_fleet::ActiveFleet;
@@ -32,6 +34,8 @@
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// How long a connection may stay idle until a configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// The time from the start of a connection to its first request, which callers connect for.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 /// The pause after a connection could not be accepted.
 const ACCEPT_DELAY: Duration = Duration::from_millis(20);
 
@@ -46,35 +50,48 @@
     pub(crate) metrics: Arc<Metrics>,
 }
 
-/// Whether a connection has a response whose head did not ask the caller to close it. Such a caller may
-/// have sent its next request by the end of the response; clones share the state.
+/// What a connection carries; clones share it.
 #[derive(Debug, Clone, Default)]
-struct KeptResponse(Arc<(AtomicBool, Notify)>);
+struct ConnectionState(Arc<StateInner>);
+
+#[derive(Debug, Default)]
+struct StateInner {
+    /// Whether it has carried a request.
+    used: AtomicBool,
+    /// Whether it has a response whose head did not ask the caller to close it. Such a caller may have
+    /// sent its next request by the end of the response.
+    kept: AtomicBool,
+    changed: Notify,
+}
 
-impl KeptResponse {
-    fn begin(&self) {
-        self.0.0.store(true, Ordering::Relaxed);
+impl ConnectionState {
+    /// Records the beginning of a request; returns what ends its response when it is dropped.
+    fn begin(&self) -> KeptGuard {
+        self.0.used.store(true, Ordering::Relaxed);
+        self.0.kept.store(true, Ordering::Relaxed);
+        KeptGuard(self.clone())
     }
 
-    fn end(&self) {
-        self.0.0.store(false, Ordering::Relaxed);
-        self.0.1.notify_one();
+    fn is_used(&self) -> bool {
+        self.0.used.load(Ordering::Relaxed)
     }
 
-    /// Waits until there is no such response.
-    async fn ended(&self) {
-        while self.0.0.load(Ordering::Relaxed) {
-            self.0.1.notified().await;
+    /// Waits until there is no response whose head did not ask the caller to close the connection.
+    async fn released(&self) {
+        while self.0.kept.load(Ordering::Relaxed) {
+            self.0.changed.notified().await;
         }
     }
 }
 
-/// Ends the response when it is dropped.
-struct KeptGuard(KeptResponse);
+/// Ends a response when it is dropped.
+struct KeptGuard(ConnectionState);
 
 impl Drop for KeptGuard {
     fn drop(&mut self) {
-        self.0.end();
+        let StateInner { kept, changed, .. } = &*self.0.0;
+        kept.store(false, Ordering::Relaxed);
+        changed.notify_one();
     }
 }
 
@@ -87,7 +104,7 @@
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                () = closing.as_mut() => return,
+                () = closing.as_mut() => break,
             };
             match accepted {
                 Ok((stream, _)) => {
@@ -100,6 +117,10 @@
                 }
             }
         }
+        // The requests of connections that wait to be accepted would get no answer at all.
+        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+            tokio::spawn(self.clone().serve(stream));
+        }
     }
 
     /// Serves the requests of one connection until it is closed.
@@ -115,12 +136,12 @@
             .map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout.max(limits.header_timeout));
         let (pipeline, shutdown) = (self.pipeline.clone(), self.shutdown.clone());
         let (connections, open) = (self.connections.clone(), OnceCell::new());
-        let kept = KeptResponse::default();
-        let own_kept = kept.clone();
+        let (state, opened) = (ConnectionState::default(), Instant::now());
+        let own_state = state.clone();
         let service = service_fn(move |request| {
             // The service lives as long as the connection.
             open.get_or_init(|| connections.enter());
-            Box::pin(handle(pipeline.clone(), shutdown.clone(), own_kept.clone(), request))
+            Box::pin(handle(pipeline.clone(), shutdown.clone(), own_state.clone(), request))
         });
         let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -130,7 +151,7 @@
         // An error of the connection concerns only its caller; each request is logged by itself.
         let is_done = tokio::select! {
             _ = poll_fn(|cx| connection.poll_without_shutdown(cx)) => true,
-            () = self.may_close(&kept) => false,
+            () = self.may_close(&state, opened) => false,
         };
         if !is_done {
             Pin::new(&mut connection).graceful_shutdown();
@@ -141,9 +162,13 @@
     }
 
     /// Waits until a connection may be closed by this VM.
-    async fn may_close(&self, kept: &KeptResponse) {
+    async fn may_close(&self, state: &ConnectionState, opened: Instant) {
         self.shutdown.reached(Phase::Closing).await;
-        kept.ended().await;
+        if !state.is_used() {
+            let _open = self.connections.enter();
+            tokio::time::sleep_until(opened + FIRST_REQUEST_TIME).await;
+        }
+        state.released().await;
     }
 
     /// Closes a connection; `read` counts the bytes that were read and of which no request was made.
@@ -166,11 +191,10 @@
 async fn handle(
     pipeline: Arc<Pipeline>,
     shutdown: Shutdown,
-    kept: KeptResponse,
+    state: ConnectionState,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
-    kept.begin();
-    let guard = KeptGuard(kept);
+    let guard = state.begin();
     let mut response = pipeline.handle(request).await;
     if shutdown.phase() != Phase::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
