--- a/crates/decide/src/request/run_times.rs
+++ b/crates/decide/src/request/run_times.rs
@@ -29,6 +29,8 @@
 const SIZE_PRIOR: f64 = 0.1;
 /// The number of requests of a route from which it can be told how much longer than likely others run.
 const MIN_WEIGHT: f64 = 7.5;
+/// The most routes that are kept; beyond them, all are learned anew.
+const MAX_ROUTES: usize = 4_096;
 /// How many standard deviations the upper estimate is above the likely one: one request of a hundred
 /// runs longer. A caller whose request is refused loses some milliseconds, as another VM takes it; one
 /// whose stream is cut loses all of it.
@@ -105,8 +107,12 @@
         ran: Duration,
     ) {
         let (kind, x) = size.split();
+        let key = (route.clone(), kind);
+        if self.fits.len() >= MAX_ROUTES && !self.fits.contains_key(&key) {
+            self.fits.clear();
+        }
         let y = (ran.as_secs_f64() * 1e3).max(1.0).ln();
-        self.fits.entry((route.clone(), kind)).or_default().record(model, x, y);
+        self.fits.entry(key).or_default().record(model, x, y);
     }
 
     /// Estimates how long a request runs once it is sent; `None` if none of its route has ended.
