--- a/crates/cli/src/entry.rs
+++ b/crates/cli/src/entry.rs
@@ -26,6 +26,8 @@
         }
     };
     logs::start();
+    info!(commit = env!("BAMBOOCOURSE_COMMIT"), process = std::process::id();
+        "the process has started");
     let result =
         build_runtime(settings.cores).and_then(|runtime| runtime.block_on(run(settings, path)));
     let exit = match result {
@@ -62,6 +64,7 @@
             _ = hangup.recv() => reload(&settings, path),
         }
     }
+    logs::write_promptly();
     vm.leave().await;
     Ok(())
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -87,6 +87,7 @@
 pub use process::store_position::{StoreEra, StorePosition};
 pub use process::table_age::{TableAge, TableSource};
 pub use process::table_feed::{FeedCall, FeedTimes, Follower, TableFeed};
+pub use process::tick_monitor::TickMonitor;
 pub use request::arrivals::Arrivals;
 pub use request::availability::{
     Availability, AvailabilityLog, EndpointInstance, MAX_QUIET, QuietRequest, UNREADABLE_QUIET,
--- a/crates/decide/src/process/mod.rs
+++ b/crates/decide/src/process/mod.rs
@@ -13,3 +13,4 @@
 pub(crate) mod store_position;
 pub(crate) mod table_age;
 pub(crate) mod table_feed;
+pub(crate) mod tick_monitor;
--- a/crates/entry/src/connection/callers.rs
+++ b/crates/entry/src/connection/callers.rs
@@ -25,6 +25,7 @@
 use crate::edge::socket;
 use crate::process::active_fleet::ActiveFleet;
 use crate::process::metrics::Metrics;
+use crate::process::open_requests::LastRequest;
 use crate::process::shutdown::{OpenCount, Phase, Shutdown};
 use crate::request::{Body, Pipeline};
 
@@ -62,6 +63,7 @@
     /// sent its next request by the end of the response.
     kept: AtomicBool,
     changed: Notify,
+    last: LastRequest,
 }
 
 impl ConnectionState {
@@ -148,19 +150,33 @@
             .header_read_timeout(idle_timeout)
             .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
-        // An error of the connection concerns only its caller; each request is logged by itself.
-        let is_done = tokio::select! {
-            _ = poll_fn(|cx| connection.poll_without_shutdown(cx)) => true,
-            () = self.may_close(&state, opened) => false,
+        let ended = tokio::select! {
+            ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => Some(ended),
+            () = self.may_close(&state, opened) => None,
+        };
+        let ended = match ended {
+            Some(ended) => ended,
+            None => {
+                Pin::new(&mut connection).graceful_shutdown();
+                poll_fn(|cx| connection.poll_without_shutdown(cx)).await
+            }
         };
-        if !is_done {
-            Pin::new(&mut connection).graceful_shutdown();
-            let _ = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
-        }
         let parts = connection.into_parts();
+        self.log_end(&state, ended.err());
         self.close(parts.io.into_inner(), parts.read_buf.len()).await;
     }
 
+    /// Writes a line for a connection that ends while the VM leaves.
+    fn log_end(&self, state: &ConnectionState, error: Option<hyper::Error>) {
+        if self.shutdown.phase() == Phase::Serving || !state.is_used() {
+            return;
+        }
+        let error = error.map(|error| format!("{error:?}")).unwrap_or_default();
+        info!(id = state.0.last.id().as_str(), error = error.as_str(),
+            left_ms = self.shutdown.time_left().as_millis() as u64;
+            "a caller's connection ends while the VM leaves");
+    }
+
     /// Waits until a connection may be closed by this VM.
     async fn may_close(&self, state: &ConnectionState, opened: Instant) {
         self.shutdown.reached(Phase::Closing).await;
@@ -195,7 +211,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let guard = state.begin();
-    let mut response = pipeline.handle(request).await;
+    let mut response = pipeline.handle(request, &state.0.last).await;
     if shutdown.phase() != Phase::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         return Ok(response);
--- a/crates/entry/src/process/open_requests.rs
+++ b/crates/entry/src/process/open_requests.rs
@@ -70,6 +70,22 @@
     open: Arc<Mutex<FastMap<u64, Arc<Mutex<Standing>>>>>,
 }
 
+/// The id of the newest request of a connection; clones share it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct LastRequest(Arc<Mutex<SmolStr>>);
+
+impl LastRequest {
+    /// Returns the id; empty if no request has been read.
+    pub(crate) fn id(&self) -> SmolStr {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Changes the id.
+    pub(crate) fn set(&self, id: SmolStr) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = id;
+    }
+}
+
 /// One open request; it counts as open until this is dropped.
 #[derive(Debug)]
 pub(crate) struct OpenRequest {
--- a/crates/entry/src/process/shutdown.rs
+++ b/crates/entry/src/process/shutdown.rs
@@ -1,13 +1,15 @@
 //! The stages of a process from its start to its end, and the parts of it that wait for them.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bamboocourse_decide::ShutdownSchedule;
+use bamboocourse_decide::{ShutdownSchedule, TickMonitor};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::edge::clock::boot_now;
+
 /// The stages of the process from its start to its shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -72,6 +74,37 @@
     }
 }
 
+/// The ticks of the process, which tell how late it runs; clones share them.
+#[derive(Debug, Clone)]
+pub(crate) struct Ticks(Arc<Mutex<TickMonitor>>);
+
+impl Ticks {
+    /// Creates a record of ticks that follow each other at this interval.
+    pub(crate) fn new(interval: Duration) -> Self {
+        Self(Arc::new(Mutex::new(TickMonitor::new(interval))))
+    }
+
+    /// Records a tick.
+    pub(crate) fn tick(&self) {
+        self.lock().tick(boot_now());
+    }
+
+    /// Returns for how long a signal that is handled now may have waited.
+    pub(crate) fn waited(&self) -> Duration {
+        let now = boot_now();
+        now.saturating_sub(self.lock().earliest(now))
+    }
+
+    /// Returns how late a tick came at most of late.
+    pub(crate) fn worst(&self) -> Duration {
+        self.lock().worst(boot_now())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, TickMonitor> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Creates the two ends, in [`Phase::Serving`].
 pub(crate) fn channel() -> (ShutdownSender, Shutdown) {
     let (sender, receiver) = watch::channel(Stage { phase: Phase::Serving, times: None });
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -31,7 +31,7 @@
 use crate::process::roster::RosterView;
 use crate::process::scheduler::Scheduler;
 use crate::process::settings::EntrySettings;
-use crate::process::shutdown::{self, LeaveTimes, OpenCount, Phase, ShutdownSender};
+use crate::process::shutdown::{self, LeaveTimes, OpenCount, Phase, ShutdownSender, Ticks};
 use crate::request::Pipeline;
 
 /// The time for the final responses of the requests that are still open when the grace period ends.
@@ -56,6 +56,8 @@
     requests: OpenRequests,
     /// The callers' connections that have carried a request.
     connections: OpenCount,
+    /// The ticks of the upkeep.
+    ticks: Ticks,
     quotas: Arc<Quotas>,
     events: mpsc::UnboundedSender<CoordinatorEvent>,
     tasks: JoinSet<()>,
@@ -192,7 +194,8 @@
         };
         tasks.spawn(link::accept(peer, services, pool.budget().clone()));
         tasks.spawn(link.run());
-        tasks.spawn(run_upkeep(scheduler, crashes, pool));
+        let ticks = Ticks::new(UPKEEP_INTERVAL);
+        tasks.spawn(run_upkeep(scheduler, crashes, pool, ticks.clone()));
         info!(vm = settings.vm.as_str(), domain = settings.domain.as_str(), life,
             front:% = address, first = settings.first_start; "an entry VM has started");
         Ok(Self {
@@ -200,6 +203,7 @@
             shutdown: shutdown_sender,
             requests,
             connections,
+            ticks,
             quotas,
             events,
             tasks,
@@ -216,7 +220,8 @@
         let started = Instant::now();
         let end = started + schedule.end;
         info!(vm = self.settings.vm.as_str(), requests = self.requests.len(),
-            connections = self.connections.get(); "the VM is leaving");
+            connections = self.connections.get(), waited_ms = self.ticks.waited().as_millis() as u64,
+            late_ms = self.ticks.worst().as_millis() as u64; "the VM is leaving");
         self.requests.log("start");
         self.shutdown.leave(LeaveTimes { began: started, schedule });
         // The receiver is gone only while the process shuts down.
@@ -242,7 +247,8 @@
         self.quotas.close();
         tokio::time::sleep(LAST_REPORT_DELAY).await;
         self.tasks.shutdown().await;
-        info!(vm = self.settings.vm.as_str(); "the VM has left");
+        info!(vm = self.settings.vm.as_str(), after_ms = started.elapsed().as_millis() as u64,
+            late_ms = self.ticks.worst().as_millis() as u64; "the VM has left");
     }
 
     /// Returns whether a request runs, or a response is still being written to its caller.
@@ -253,11 +259,12 @@
 
 /// Gives free slots to waiting requests and prunes idle connections at intervals, since time alone
 /// can make an endpoint available again or a connection too old.
-async fn run_upkeep(scheduler: Arc<Scheduler>, crashes: Arc<Crashes>, pool: Pool) {
+async fn run_upkeep(scheduler: Arc<Scheduler>, crashes: Arc<Crashes>, pool: Pool, own: Ticks) {
     let mut ticks = tokio::time::interval(UPKEEP_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
+        own.tick();
         scheduler.dispatch_waiting();
         scheduler.record_availability();
         crashes.prune();
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -37,7 +37,7 @@
 use crate::process::crashes::Crashes;
 use crate::process::freshness::Freshness;
 use crate::process::metrics::Metrics;
-use crate::process::open_requests::{OpenRequests, Stage};
+use crate::process::open_requests::{LastRequest, OpenRequests, Stage};
 use crate::process::quotas::{Quotas, TokenGrant, TokensRefused};
 use crate::process::scheduler::{EndpointSlot, Scheduler};
 use crate::process::shutdown::{Phase, Shutdown};
@@ -143,7 +143,13 @@
 
 impl Pipeline {
     /// Handles a caller's request and returns the response.
-    pub(crate) async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+    ///
+    /// `last` names the request in the log lines of its connection.
+    pub(crate) async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        last: &LastRequest,
+    ) -> Response<Body> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let open = self.open.enter(arrived);
@@ -153,6 +159,7 @@
             Err(refusal) => return self.refuse(None, &refusal, trace),
         };
         trace.set_request(&request);
+        last.set(request.id.clone());
         let id = request.id.clone();
         let result = tokio::select! {
             // A request that is read when the process ends must not be sent and cut at once.
