--- a/crates/cli/build.rs
+++ b/crates/cli/build.rs
@@ -6,7 +6,10 @@
     let git = Path::new("../../.git");
     println!("cargo::rerun-if-changed=../../.git/HEAD");
     println!("cargo::rerun-if-changed=../../.git/logs/HEAD");
-    println!("cargo::rustc-env=BAMBOOCOURSE_COMMIT={}", commit(git).as_deref().unwrap_or("unknown"));
+    println!(
+        "cargo::rustc-env=BAMBOOCOURSE_COMMIT={}",
+        commit(git).as_deref().unwrap_or("unknown")
+    );
 }
 
 /// Returns the commit that is checked out; `None` outside a repository.
--- /dev/null
+++ b/crates/cli/tests/entry_signals.rs
@@ -0,0 +1,262 @@
+//! Signals to an `entry` process: before it serves, and while the machine gives it no time to run.
+
+use std::io::Write;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::os::unix::process::ExitStatusExt;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use bamboocourse_emulator::{
+    Caller, ClusterSpec, Response, RouteSpec, Server, ServerSpec, Store, VmSettings, config_json,
+    free_ports,
+};
+use rustix::fs::{CWD, FileType, Mode, mknodat};
+use rustix::process::{Pid, Signal, kill_process};
+
+/// The grace period after SIGTERM, in s.
+const GRACE_S: u64 = 8;
+/// The interval between the events of a stream; its eight events take 4 s.
+const EVENT_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a process may take to start or to end.
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// How many VMs this test process has started.
+static STARTED: AtomicU8 = AtomicU8::new(0);
+
+/// An `entry` process, with a platform of one store and one endpoint.
+struct Vm {
+    process: Child,
+    settings: VmSettings,
+    folder: PathBuf,
+    server: Server,
+}
+
+impl Vm {
+    /// Starts a process whose settings file is a pipe without a writer.
+    async fn start() -> Self {
+        let mut spec = ClusterSpec::default();
+        for route in &mut spec.config.routes {
+            *route = RouteSpec { timeout_ms: 30_000, goal_ms: 6_000, ..route.clone() };
+        }
+        let store = Store::start().await.expect("the store starts");
+        store.write("op", "config", Some(&config_json(&spec.config)));
+        let server = ServerSpec {
+            id: "i-model".to_owned(),
+            service: "models".to_owned(),
+            zone: "zone-a".to_owned(),
+            slots: 8,
+            models: vec!["m1".to_owned()],
+            max_models: 3,
+            load_time: Duration::from_millis(300),
+            work_time: EVENT_INTERVAL,
+            events: 8,
+            event_tokens: None,
+        };
+        let server = Server::start(server, store.clone()).await.expect("the endpoint starts");
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let own = 1 + (std::process::id() % 250) as u8;
+        let ip = IpAddr::V4(Ipv4Addr::new(127, own, 254, 1 + number));
+        let [front_port, ready_port, peer_port, other_port] = free_ports(ip).expect("free ports");
+        let settings = VmSettings {
+            name: "vm-0".to_owned(),
+            first_start: true,
+            ip,
+            front_port,
+            ready_port,
+            peer_port,
+            seed: None,
+            other_port,
+            store: store.address,
+            grace_s: GRACE_S,
+        };
+        let folder = std::env::temp_dir().join(format!("entry-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        mknodat(CWD, folder.join("settings"), FileType::Fifo, Mode::RUSR | Mode::WUSR, 0)
+            .expect("a pipe");
+        let log = std::fs::File::create(folder.join("log")).expect("a log file");
+        let process = Command::new(env!("CARGO_BIN_EXE_bamboocourse"))
+            .arg("entry")
+            .env("BAMBOOCOURSE_SETTINGS", folder.join("settings"))
+            .stdout(Stdio::from(log.try_clone().expect("a second handle")))
+            .stderr(Stdio::from(log))
+            .spawn()
+            .expect("the process starts");
+        Self { process, settings, folder, server }
+    }
+
+    /// Starts a process that serves.
+    async fn serving() -> Self {
+        let mut vm = Self::start().await;
+        vm.give_settings().await;
+        let end = Instant::now() + TIMEOUT;
+        let mut count = 0;
+        loop {
+            count += 1;
+            let response = vm.stream(&format!("s{count}"), 50).await;
+            if response.is_some_and(|response| response.status == 200) {
+                return vm;
+            }
+            assert!(Instant::now() < end, "the VM does not serve: {}", vm.log());
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// Writes the settings into the pipe that the process reads.
+    async fn give_settings(&mut self) {
+        let (path, text) = (self.folder.join("settings"), self.settings.to_text());
+        let writing = tokio::task::spawn_blocking(move || {
+            let mut pipe = std::fs::File::options().write(true).open(path).expect("a reader");
+            pipe.write_all(text.as_bytes()).expect("the settings are read");
+        });
+        tokio::time::timeout(TIMEOUT, writing).await.expect("in time").expect("no panic");
+    }
+
+    fn address(&self) -> SocketAddr {
+        SocketAddr::new(self.settings.ip, self.settings.front_port)
+    }
+
+    /// Sends a request for a stream; returns the response if one arrives.
+    async fn stream(&self, id: &str, tokens: u64) -> Option<Response> {
+        let mut caller = Caller::connect(self.address()).await.ok()?;
+        caller.write((head(id, tokens) + "body").as_bytes()).await.ok()?;
+        caller.receive().await.ok()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.process.id() as i32).expect("a process id");
+        kill_process(pid, signal).expect("the process runs");
+    }
+
+    /// Waits for the end of the process.
+    async fn wait(&mut self) -> ExitStatus {
+        let end = Instant::now() + TIMEOUT;
+        loop {
+            if let Some(status) = self.process.try_wait().expect("its own process") {
+                return status;
+            }
+            assert!(Instant::now() < end, "the process does not end: {}", self.log());
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Returns the head of a request for a stream, with a body of four bytes.
+fn head(id: &str, tokens: u64) -> String {
+    format!(
+        "POST /stream/x HTTP/1.1\r\nHost: host.example\r\nContent-Length: 4\r\n\
+         X-Bamboocourse-Request-Id: {id}\r\nX-Bamboocourse-Deadline-Ms: 30000\r\n\
+         Authorization: Bearer key-desk\r\nX-Bamboocourse-Model: m1\r\n\
+         X-Bamboocourse-Token-Usage: 100,{tokens}\r\n\
+         X-Bamboocourse-Prompt-Prefix: 5c1e07a2:60,{id}:40\r\n\r\n"
+    )
+}
+
+/// Defines a test of a signal that comes while the process reads its settings.
+macro_rules! early_signal {
+    ($name:ident, $signal:expr, |$vm:ident| $check:block) => {
+        #[tokio::test]
+        async fn $name() {
+            let mut $vm = Vm::start().await;
+            // The process has begun to run; it waits for the settings.
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            $vm.signal($signal);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            assert_eq!($vm.process.try_wait().expect("its own process"), None, "it has ended");
+            $vm.give_settings().await;
+            $check
+        }
+    };
+}
+
+// The signal ended the process, since nothing handled it yet.
+early_signal!(sighup_before_the_process_serves_does_not_end_it, Signal::HUP, |vm| {
+    let end = Instant::now() + TIMEOUT;
+    while vm.stream("h1", 50).await.is_none_or(|response| response.status != 200) {
+        assert!(Instant::now() < end, "the VM does not serve: {}", vm.log());
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+});
+
+early_signal!(sigterm_before_the_process_serves_lets_it_leave, Signal::TERM, |vm| {
+    let status = vm.wait().await;
+    assert!(status.success(), "{status}, signal {:?}", status.signal());
+});
+
+/// For how long the machine gives the process no time to run.
+const PAUSE: Duration = Duration::from_secs(3);
+/// When the body of a stream ends, from SIGTERM on: a stream of 4 s would end after the grace period.
+const LATE_BODY: Duration = Duration::from_millis(4_500);
+
+// The grace period was counted from when the signal was handled, so the process was killed by its
+// platform while it believed that it had 3 s left.
+#[tokio::test]
+async fn stream_is_not_cut_by_the_kill_after_a_sigterm_that_was_handled_late() {
+    let mut vm = Vm::serving().await;
+    // The VM sees how long streams run.
+    let seen = futures_util::future::join_all((0..8).map(|index| {
+        let id = format!("w{index}");
+        let vm = &vm;
+        async move { vm.stream(&id, 50).await }
+    }));
+    assert!(seen.await.iter().all(|got| got.as_ref().is_some_and(|got| got.complete)));
+    let mut caller = Caller::connect(vm.address()).await.expect("the VM listens");
+    caller.write((head("l1", 50) + "bo").as_bytes()).await.expect("the bytes are sent");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    vm.signal(Signal::STOP);
+    vm.signal(Signal::TERM);
+    let told = Instant::now();
+    tokio::time::sleep(PAUSE).await;
+    vm.signal(Signal::CONT);
+    tokio::time::sleep(LATE_BODY.saturating_sub(told.elapsed())).await;
+    caller.write(b"dy").await.expect("the bytes are sent");
+    let answer = tokio::spawn(async move { caller.receive().await });
+    let is_over = || told.elapsed() > Duration::from_secs(GRACE_S);
+    while vm.process.try_wait().expect("its own process").is_none() && !is_over() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let was_killed = vm.process.try_wait().expect("its own process").is_none();
+    let _ = vm.process.kill();
+    let response = answer.await.expect("no panic").expect("a response arrives");
+    let received = vm.server.requests().iter().any(|request| {
+        request.headers.get("x-bamboocourse-request-id").is_some_and(|id| id == "l1")
+    });
+    let is_whole = response.status == 200 && response.complete;
+    let is_refused = response.status == 503 && !received;
+    assert!(
+        is_whole || is_refused,
+        "status {}, complete {}, killed {was_killed}: {}",
+        response.status,
+        response.complete,
+        vm.log()
+    );
+}
+
+// Up to 250 ms of log lines were lost with a process that was killed as it left.
+#[tokio::test]
+async fn log_of_a_process_killed_after_sigterm_names_its_open_requests() {
+    let mut vm = Vm::serving().await;
+    let mut caller = Caller::connect(vm.address()).await.expect("the VM listens");
+    caller.write((head("k1", 50) + "body").as_bytes()).await.expect("the request is sent");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    vm.signal(Signal::TERM);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let _ = vm.process.kill();
+    let log = vm.log();
+    let named =
+        log.lines().any(|line| line.contains("is open while the VM leaves") && line.contains("k1"));
+    assert!(named, "{log}");
+}
