A connection is closed in two steps, by one owner of the way out

What callers saw: a response that the VM had written whole was cut, if bytes of the next request stood unread as the connection was closed (the kernel then resets it, and a reset discards what the caller has not received). Cause: the VM looked at up to 64 bytes and closed. Class: an answer counted as delivered once it was in a buffer. Change: the VM ends its own side when the HTTP library has written everything, and reads until the caller ends the other side, for at most a second; until then the connection counts as open, so the process does not end. The library's own shutdown is awaited, which flushes its buffer first. Drain, close and end stand in process/drain.rs.

--- a/crates/entry/src/connection/callers.rs
+++ b/crates/entry/src/connection/callers.rs
@@ -1,11 +1,9 @@
 //! Accepts and serves callers' connections.
 
-use std::cell::OnceCell;
 use std::convert::Infallible;
-use std::future::poll_fn;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use futures_util::FutureExt;
@@ -17,13 +15,13 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{info, warn};
-use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::edge::socket;
 use crate::process::active_fleet::ActiveFleet;
+use crate::process::drain::{self, Closed};
 use crate::process::metrics::Metrics;
 use crate::process::open_requests::LastRequest;
 use crate::process::shutdown::{OpenCount, Phase, Shutdown};
@@ -137,12 +135,12 @@
         let idle_timeout = limits
             .map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout.max(limits.header_timeout));
         let (pipeline, shutdown) = (self.pipeline.clone(), self.shutdown.clone());
-        let (connections, open) = (self.connections.clone(), OnceCell::new());
+        let (connections, open) = (self.connections.clone(), Arc::new(OnceLock::new()));
         let (state, opened) = (ConnectionState::default(), Instant::now());
-        let own_state = state.clone();
+        let (own_state, own_open) = (state.clone(), open.clone());
         let service = service_fn(move |request| {
-            // The service lives as long as the connection.
-            open.get_or_init(|| connections.enter());
+            // It counts as open until it has been closed.
+            own_open.get_or_init(|| connections.enter());
             Box::pin(handle(pipeline.clone(), shutdown.clone(), own_state.clone(), request))
         });
         let mut connection = http1::Builder::new()
@@ -151,30 +149,20 @@
             .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
         let ended = tokio::select! {
-            ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => Some(ended),
+            ended = &mut connection => Some(ended),
             () = self.may_close(&state, opened) => None,
         };
         let ended = match ended {
             Some(ended) => ended,
             None => {
                 Pin::new(&mut connection).graceful_shutdown();
-                poll_fn(|cx| connection.poll_without_shutdown(cx)).await
+                (&mut connection).await
             }
         };
         let parts = connection.into_parts();
-        self.log_end(&state, ended.err());
-        self.close(parts.io.into_inner(), parts.read_buf.len()).await;
-    }
-
-    /// Writes a line for a connection that ends while the VM leaves.
-    fn log_end(&self, state: &ConnectionState, error: Option<hyper::Error>) {
-        if self.shutdown.phase() == Phase::Serving || !state.is_used() {
-            return;
-        }
-        let error = error.map(|error| format!("{error:?}")).unwrap_or_default();
-        info!(id = state.0.last.id().as_str(), error = error.as_str(),
-            left_ms = self.shutdown.time_left().as_millis() as u64;
-            "a caller's connection ends while the VM leaves");
+        let closed = drain::close(parts.io.into_inner()).await;
+        self.log_close(&state, ended.err(), parts.read_buf.len(), closed);
+        drop(open);
     }
 
     /// Waits until a connection may be closed by this VM.
@@ -187,19 +175,26 @@
         state.released().await;
     }
 
-    /// Closes a connection; `read` counts the bytes that were read and of which no request was made.
-    async fn close(&self, mut stream: TcpStream, read: usize) {
-        let arriving = stream.try_read(&mut [0; 64]).unwrap_or(0);
-        if read + arriving > 0 {
+    /// Records how a connection was closed; `read` counts the bytes that were read and of which no request
+    /// was made.
+    fn log_close(
+        &self,
+        state: &ConnectionState,
+        error: Option<hyper::Error>,
+        read: usize,
+        closed: Closed,
+    ) {
+        let Closed { by_caller, discarded } = closed;
+        if read + discarded > 0 {
             self.metrics.count_closed_unread(if read > 0 { "read" } else { "arriving" });
-            if self.shutdown.phase() != Phase::Serving {
-                let peer = stream.peer_addr().map_or_else(|_| String::new(), |a| a.to_string());
-                info!(peer = peer.as_str(), read, arriving;
-                    "a caller's connection is closed with bytes of which no request was made");
-            }
         }
-        // The caller may have closed it already.
-        let _ = stream.shutdown().await;
+        if self.shutdown.phase() == Phase::Serving || !(state.is_used() || read + discarded > 0) {
+            return;
+        }
+        let error = error.map(|error| format!("{error:?}")).unwrap_or_default();
+        info!(id = state.0.last.id().as_str(), error = error.as_str(), by_caller, read, discarded,
+            left_ms = self.shutdown.time_left().as_millis() as u64;
+            "a caller's connection is closed while the VM leaves");
     }
 }
 
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -4,8 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bamboocourse_decide::ShutdownSchedule;
-use log::{info, warn};
+use log::info;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
@@ -21,6 +20,7 @@
 use crate::process::asks::Asks;
 use crate::process::coordinator::{Coordinator, CoordinatorEvent, Handles};
 use crate::process::crashes::Crashes;
+use crate::process::drain::Drain;
 use crate::process::endpoint_list::EndpointList;
 use crate::process::follow::{Sink, TableFollower};
 use crate::process::freshness::Freshness;
@@ -31,15 +31,9 @@
 use crate::process::roster::RosterView;
 use crate::process::scheduler::Scheduler;
 use crate::process::settings::EntrySettings;
-use crate::process::shutdown::{self, LeaveTimes, OpenCount, Phase, ShutdownSender, Ticks};
+use crate::process::shutdown::{self, OpenCount, Ticks};
 use crate::request::Pipeline;
 
-/// The time for the final responses of the requests that are still open when the grace period ends.
-const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(200);
-/// How often a leaving process checks whether requests are still running.
-const LEAVE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// How often the process checks whether the final responses have been given.
-const FINAL_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// The time for the last report of the spent tokens, which is sent within 12 ms.
 const LAST_REPORT_DELAY: Duration = Duration::from_millis(40);
 /// How often waiting requests are given free slots and connections that were idle too long are
@@ -51,13 +45,7 @@
 /// A running entry VM.
 pub struct EntryProcess {
     settings: Arc<EntrySettings>,
-    shutdown: ShutdownSender,
-    /// The requests whose response is not complete yet.
-    requests: OpenRequests,
-    /// The callers' connections that have carried a request.
-    connections: OpenCount,
-    /// The ticks of the upkeep.
-    ticks: Ticks,
+    drain: Drain,
     quotas: Arc<Quotas>,
     events: mpsc::UnboundedSender<CoordinatorEvent>,
     tasks: JoinSet<()>,
@@ -196,19 +184,16 @@
         tasks.spawn(link.run());
         let ticks = Ticks::new(UPKEEP_INTERVAL);
         tasks.spawn(run_upkeep(scheduler, crashes, pool, ticks.clone()));
-        info!(vm = settings.vm.as_str(), domain = settings.domain.as_str(), life,
-            front:% = address, first = settings.first_start; "an entry VM has started");
-        Ok(Self {
-            settings,
+        let drain = Drain {
+            vm: settings.vm.clone(),
             shutdown: shutdown_sender,
             requests,
             connections,
             ticks,
-            quotas,
-            events,
-            tasks,
-            front: address,
-        })
+        };
+        info!(vm = settings.vm.as_str(), domain = settings.domain.as_str(), life,
+            front:% = address, first = settings.first_start; "an entry VM has started");
+        Ok(Self { settings, drain, quotas, events, tasks, front: address })
     }
 
     /// Takes the VM out of service: reports the VM as not ready, waits for running requests and
@@ -216,44 +201,14 @@
     ///
     /// Shortly before the grace period ends, requests that still run get their final response.
     pub async fn leave(mut self) {
-        let schedule = ShutdownSchedule::new(self.settings.bounds.grace);
-        let started = Instant::now();
-        let end = started + schedule.end;
-        info!(vm = self.settings.vm.as_str(), requests = self.requests.len(),
-            connections = self.connections.get(), waited_ms = self.ticks.waited().as_millis() as u64,
-            late_ms = self.ticks.worst().as_millis() as u64; "the VM is leaving");
-        self.requests.log("start");
-        self.shutdown.leave(LeaveTimes { began: started, schedule });
+        let times = self.drain.begin(self.settings.bounds.grace);
         // The receiver is gone only while the process shuts down.
         let _ = self.events.send(CoordinatorEvent::Leave);
-        tokio::time::sleep_until(started + schedule.close).await;
-        self.shutdown.enter(Phase::Closing);
-        // All connections close now; only those with a request or a response are waited for.
-        tokio::time::sleep(LEAVE_CHECK_INTERVAL).await;
-        while Instant::now() < end && self.is_busy() {
-            tokio::time::sleep_until(end.min(Instant::now() + LEAVE_CHECK_INTERVAL)).await;
-        }
-        if self.is_busy() {
-            warn!(vm = self.settings.vm.as_str(), requests = self.requests.len(),
-                connections = self.connections.get();
-                "the grace period is over while requests still run");
-            self.requests.log("end");
-        }
-        self.shutdown.enter(Phase::Ending);
-        let end = Instant::now() + FINAL_RESPONSE_TIME;
-        while Instant::now() < end && self.is_busy() {
-            tokio::time::sleep(FINAL_CHECK_INTERVAL).await;
-        }
+        self.drain.run(times).await;
         self.quotas.close();
         tokio::time::sleep(LAST_REPORT_DELAY).await;
         self.tasks.shutdown().await;
-        info!(vm = self.settings.vm.as_str(), after_ms = started.elapsed().as_millis() as u64,
-            late_ms = self.ticks.worst().as_millis() as u64; "the VM has left");
-    }
-
-    /// Returns whether a request runs, or a response is still being written to its caller.
-    fn is_busy(&self) -> bool {
-        self.requests.len() > 0 || self.connections.get() > 0
+        self.drain.finish(times);
     }
 }
 
