The grace period counts from when SIGTERM may have been sent

Cause: all of the shutdown counted from when the signal was handled. A process that gets no processor, or is busy, handles it late. Class: a deadline that is somebody else's, counted on one's own start. Change: the upkeep's ticks tell when the process last ran on time; the signal may have been sent right after. The grace period counts from there, and is shorter by how late ticks came in the last 10 s. On a VM that is on time nothing changes.

--- a/crates/decide/src/process/tick_monitor.rs
+++ b/crates/decide/src/process/tick_monitor.rs
@@ -63,9 +63,12 @@
         present.or(just_over.copied()).map_or(now, |pause| pause.from)
     }
 
-    /// Returns how late a tick came at most of late, beyond its interval.
+    /// Returns how late a tick came at most of late, beyond its interval; a pause that is just over counts
+    /// in [`earliest`](Self::earliest) already.
     pub fn worst(&self, now: Duration) -> Duration {
-        let recent = self.pauses.iter().filter(|pause| pause.until + MEMORY > now);
+        let is_counted =
+            |pause: &&Pause| pause.until + MEMORY > now && pause.until + SAME_MOMENT < now;
+        let recent = self.pauses.iter().filter(is_counted);
         recent.map(|pause| self.delay(pause)).max().unwrap_or_default()
     }
 
--- a/crates/decide/tests/tick_monitor.rs
+++ b/crates/decide/tests/tick_monitor.rs
@@ -35,6 +35,7 @@
 #[test]
 fn delays_are_forgotten() {
     let ticks = ticked(&[1_000, 1_900, 2_150]);
+    assert_eq!(ticks.worst(ms(1_901)), Duration::ZERO);
     assert_eq!(ticks.worst(ms(2_200)), ms(650));
     assert_eq!(ticks.worst(ms(12_000)), Duration::ZERO);
 }
--- a/crates/entry/src/process/drain.rs
+++ b/crates/entry/src/process/drain.rs
@@ -9,6 +9,8 @@
 //! 4. [`Phase::Ending`]: shortly before the grace period ends, requests that still run get their final
 //!    response.
 //! 5. [`Drain::run`] returns when no request and no connection is open, and the process may end.
+//!
+//! The grace period counts from when the signal may have been sent, not from when it was handled.
 
 use std::time::Duration;
 
@@ -55,7 +57,9 @@
     /// Starts to leave; returns the times of the shutdown.
     pub(crate) fn begin(&self, grace: Duration) -> LeaveTimes {
         let (waited, late) = (self.ticks.waited(), self.ticks.worst());
-        let times = LeaveTimes { began: Instant::now(), schedule: ShutdownSchedule::new(grace) };
+        let schedule = ShutdownSchedule::new(grace.saturating_sub(late));
+        let now = Instant::now();
+        let times = LeaveTimes { began: now.checked_sub(waited).unwrap_or(now), schedule };
         info!(vm = self.vm.as_str(), requests = self.requests.len(),
             connections = self.connections.get(), waited_ms = waited.as_millis() as u64,
             late_ms = late.as_millis() as u64; "the VM is leaving");
