Signals that come while a process starts are kept

What callers saw: nothing by itself; a VM that was told to read its settings again as it started was gone. Change: the first thing that an entry process does is to record SIGTERM, SIGINT and SIGHUP (signal-hook, whose registry tokio uses, too); once its tasks run, it acts on what was recorded. The test's settings are a pipe at first and a file for later reads, since a reload would wait for a writer of the pipe. A signal before the program's first instruction still ends it.

--- a/crates/cli/src/entry.rs
+++ b/crates/cli/src/entry.rs
@@ -7,13 +7,20 @@
 use bamboocourse_platform::{PlatformProtocol, PlatformSettings, PlatformStore, read_settings};
 use log::{error, info};
 use tokio::runtime::{Builder, Runtime};
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::args::EntryOptions;
+use crate::signals::{EarlySignals, Request, Signals};
 use crate::{Exit, logs};
 
 /// Runs an entry VM until SIGTERM or SIGINT, then lets it finish its running requests.
 pub(crate) fn entry(options: &EntryOptions) -> Exit {
+    let signals = match EarlySignals::record() {
+        Ok(signals) => signals,
+        Err(why) => {
+            eprintln!("bamboocourse: signals cannot be handled: {why}");
+            return Exit::Failure;
+        }
+    };
     let Some(path) = &options.settings else {
         eprintln!("bamboocourse: no settings file; pass --settings or set BAMBOOCOURSE_SETTINGS");
         return Exit::Usage;
@@ -28,8 +35,8 @@
     logs::start();
     info!(commit = env!("BAMBOOCOURSE_COMMIT"), process = std::process::id();
         "the process has started");
-    let result =
-        build_runtime(settings.cores).and_then(|runtime| runtime.block_on(run(settings, path)));
+    let result = build_runtime(settings.cores)
+        .and_then(|runtime| runtime.block_on(run(settings, path, signals)));
     let exit = match result {
         Ok(()) => Exit::Success,
         Err(why) => {
@@ -50,19 +57,17 @@
     Builder::new_multi_thread().worker_threads(cores).enable_all().build()
 }
 
-async fn run(settings: PlatformSettings, path: &Path) -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+async fn run(
+    settings: PlatformSettings,
+    path: &Path,
+    signals: EarlySignals,
+) -> std::io::Result<()> {
+    let mut signals = Signals::new(signals)?;
     let pool = Pool::new(settings.entry.local);
     let store = Arc::new(PlatformStore::new(settings.store, pool));
     let vm = EntryProcess::start(settings.entry.clone(), store, Arc::new(PlatformProtocol))?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(&settings, path),
-        }
+    while signals.next().await == Request::Reload {
+        reload(&settings, path);
     }
     logs::write_promptly();
     vm.leave().await;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod publish;
 mod query;
 mod serve;
+mod signals;
 
 use std::process::ExitCode;
 
--- a/crates/cli/tests/entry_signals.rs
+++ b/crates/cli/tests/entry_signals.rs
@@ -103,11 +103,14 @@
         }
     }
 
-    /// Writes the settings into the pipe that the process reads.
+    /// Writes the settings into the pipe that the process reads, and a file of them for later reads.
     async fn give_settings(&mut self) {
-        let (path, text) = (self.folder.join("settings"), self.settings.to_text());
+        let (folder, text) = (self.folder.clone(), self.settings.to_text());
         let writing = tokio::task::spawn_blocking(move || {
-            let mut pipe = std::fs::File::options().write(true).open(path).expect("a reader");
+            let (path, file) = (folder.join("settings"), folder.join("settings.new"));
+            std::fs::write(&file, &text).expect("a file");
+            let mut pipe = std::fs::File::options().write(true).open(&path).expect("a reader");
+            std::fs::rename(&file, &path).expect("the pipe is replaced");
             pipe.write_all(text.as_bytes()).expect("the settings are read");
         });
         tokio::time::timeout(TIMEOUT, writing).await.expect("in time").expect("no panic");
