--- a/crates/cli/src/entry.rs
+++ b/crates/cli/src/entry.rs
@@ -63,6 +63,10 @@
     signals: EarlySignals,
 ) -> std::io::Result<()> {
     let mut signals = Signals::new(signals)?;
+    if signals.is_end_asked() {
+        info!("the process was told to end before it served");
+        return Ok(());
+    }
     let pool = Pool::new(settings.entry.local);
     let store = Arc::new(PlatformStore::new(settings.store, pool));
     let vm = EntryProcess::start(settings.entry.clone(), store, Arc::new(PlatformProtocol))?;
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,13 +1,21 @@
 //! The command `serve`: runs one entry VM until SIGTERM or SIGINT.
 
 use bamboocourse_serve::{EntryVm, Settings};
-use tokio::signal::unix::{SignalKind, signal};
+use log::info;
 
 use crate::Exit;
 use crate::args::ServeOptions;
+use crate::signals::{EarlySignals, Request, Signals};
 
 /// Runs an entry VM until SIGTERM or SIGINT, then drains it: running requests are finished.
 pub(crate) fn serve(options: &ServeOptions) -> Exit {
+    let signals = match EarlySignals::record() {
+        Ok(signals) => signals,
+        Err(error) => {
+            eprintln!("cannot handle signals: {error}");
+            return Exit::Failure;
+        }
+    };
     let Some(settings) = read_settings(options) else { return Exit::Usage };
     if let Err(errors) = settings.check() {
         for error in errors {
@@ -18,7 +26,7 @@
     let Ok(runtime) = tokio::runtime::Builder::new_multi_thread().enable_all().build() else {
         return Exit::Failure;
     };
-    match runtime.block_on(run(settings)) {
+    match runtime.block_on(run(settings, signals)) {
         Ok(()) => Exit::Success,
         Err(error) => {
             eprintln!("cannot serve: {error}");
@@ -27,13 +35,11 @@
     }
 }
 
-async fn run(settings: Settings) -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+async fn run(settings: Settings, signals: EarlySignals) -> std::io::Result<()> {
+    let mut signals = Signals::new(signals)?;
     let vm = EntryVm::start(settings).await?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    while signals.next().await == Request::Reload {
+        info!("the settings are flags; they apply until the process ends");
     }
     vm.drain().await;
     Ok(())
--- a/crates/cli/src/signals.rs
+++ b/crates/cli/src/signals.rs
@@ -60,6 +60,11 @@
         })
     }
 
+    /// Returns whether the process has been asked to end before it could act on it.
+    pub(crate) fn is_end_asked(&self) -> bool {
+        self.early.end.load(Ordering::Relaxed)
+    }
+
     /// Waits for the next signal. One that comes while handlers change may be returned twice.
     pub(crate) async fn next(&mut self) -> Request {
         if self.early.end.swap(false, Ordering::Relaxed) {
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -127,6 +127,12 @@
     }
     let status = command(&["status", &vms[0].operator.to_string()]);
     assert!(text(&status.stdout).contains("ready, version 1"), "{}", text(&status.stdout));
+    // The signal ended the process, as nothing handled it.
+    let id = vms[1].process.id().to_string();
+    let signal = Command::new("kill").args(["-HUP", &id]).status().expect("kill runs");
+    assert!(signal.success());
+    std::thread::sleep(Duration::from_millis(200));
+    assert_eq!(vms[1].process.try_wait().expect("its own process"), None);
     for vm in &mut vms {
         let id = vm.process.id().to_string();
         let signal = Command::new("kill").args(["-TERM", &id]).status().expect("kill runs");
