A connection that failed is ended at once

Cause: on an error the HTTP library does not end its side, and the VM read for up to a second before it closed.

--- a/crates/entry/src/process/drain.rs
+++ b/crates/entry/src/process/drain.rs
@@ -18,7 +18,7 @@
 use log::{info, warn};
 use smol_str::SmolStr;
 use socket2::SockRef;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -120,7 +120,9 @@
 /// Closing it with bytes unread, or before bytes that are on their way have arrived, would reset it, and
 /// a reset discards what the caller has not received yet.
 pub(crate) async fn close(mut stream: TcpStream) -> Closed {
-    // It fails if the caller has reset the connection, which the reading below shows.
+    // Both fail if the caller has reset the connection, which the reading below shows. The HTTP library has
+    // not ended its side if the connection failed.
+    let _ = stream.shutdown().await;
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(DELIVERY_TIMEOUT));
     let mut closed = Closed { by_caller: false, discarded: 0 };
     let mut buffer = [0; DISCARD_BYTES];
