A late signal bounds what a leaving VM takes, not the streams that run

Cause: the whole pause was taken off the grace period. It is an upper bound of how long the signal waited, and ending what runs early saves nothing if it is wrong. Change: the bound holds for what is taken from then on and for the final responses of requests without one (Phase::Answering); streams run on until the end counted from the signal.

--- a/crates/cli/tests/entry_signals.rs
+++ b/crates/cli/tests/entry_signals.rs
@@ -291,3 +291,36 @@
     assert_eq!((response.status, response.complete), (200, true), "{}", vm.log());
     assert_eq!(vm.arrivals("q1"), 1, "{}", vm.log());
 }
+
+// A pause that was long over shortened the grace period by its length.
+#[tokio::test]
+async fn stream_is_not_cut_because_of_a_pause_long_before_sigterm() {
+    let mut vm = Vm::serving().await;
+    vm.signal(Signal::STOP);
+    tokio::time::sleep(Duration::from_millis(7_900)).await;
+    vm.signal(Signal::CONT);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let mut caller = Caller::connect(vm.address()).await.expect("the VM listens");
+    caller.write((head("p1", 50) + "body").as_bytes()).await.expect("the request is sent");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    vm.signal(Signal::TERM);
+    let response = caller.receive().await.expect("a response arrives");
+    assert_eq!((response.status, response.complete), (200, true), "{}", vm.log());
+    assert!(vm.wait().await.success());
+}
+
+// All ended at once, as the whole pause counted against the grace period.
+#[tokio::test]
+async fn stream_is_not_cut_if_sigterm_comes_at_the_end_of_a_long_pause() {
+    let mut vm = Vm::serving().await;
+    let mut caller = Caller::connect(vm.address()).await.expect("the VM listens");
+    vm.signal(Signal::STOP);
+    tokio::time::sleep(Duration::from_millis(8_500)).await;
+    caller.write((head("e1", 50) + "body").as_bytes()).await.expect("the request is sent");
+    vm.signal(Signal::CONT);
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    vm.signal(Signal::TERM);
+    let response = caller.receive().await.expect("a response arrives");
+    assert!(response.complete && [200, 503].contains(&response.status), "{}", vm.log());
+    assert!(vm.wait().await.success());
+}
--- a/crates/decide/src/process/shutdown.rs
+++ b/crates/decide/src/process/shutdown.rs
@@ -28,7 +28,9 @@
 pub struct ShutdownSchedule {
     /// From when idle connections are closed and none are accepted.
     pub close: Duration,
-    /// When all requests get their final response.
+    /// When requests of which no response has begun get their final one.
+    pub answer: Duration,
+    /// When streams that still run are ended.
     pub end: Duration,
 }
 
@@ -44,7 +46,25 @@
     /// ```
     pub fn new(grace: Duration) -> Self {
         let end = grace.saturating_sub(GRACE_MARGIN);
-        Self { close: DRAIN_TIME.min(end), end }
+        Self { close: DRAIN_TIME.min(end), answer: end, end }
+    }
+
+    /// Returns the schedule of a process that may have been told this much before it noticed.
+    ///
+    /// What it takes from then on ends that much earlier. Streams that run already go on: if it was told
+    /// just now, they can still end.
+    ///
+    /// ```
+    /// use bamboocourse_decide::ShutdownSchedule;
+    /// use std::time::Duration;
+    /// let second = Duration::from_secs(1);
+    /// let schedule = ShutdownSchedule::new(8 * second).noticed_after(second, Duration::ZERO);
+    /// assert_eq!(schedule.answer + second, schedule.end);
+    /// ```
+    pub fn noticed_after(self, waited: Duration, late: Duration) -> Self {
+        // A past pause of seconds says little of the next one.
+        let answer = self.end.saturating_sub(waited.saturating_add(late.min(GRACE_MARGIN)));
+        Self { close: self.close.min(answer), answer, ..self }
     }
 
     /// Returns the latest time at which a request is passed on that no endpoint has run, or may be sent
@@ -63,11 +83,12 @@
     /// assert_eq!(schedule.latest_send(3 * second, None), 3 * second);
     /// ```
     pub fn latest_send(&self, deadline: Duration, estimate: Option<RunEstimate>) -> Duration {
-        if deadline <= self.end {
+        if deadline <= self.answer {
             return deadline;
         }
-        let before_end = |run: Duration| self.end.saturating_sub(run.saturating_add(DELIVERY_TIME));
-        let unknown = self.end.mul_f64(1.0 - UNKNOWN_RUN_RATIO);
+        let before_end =
+            |run: Duration| self.answer.saturating_sub(run.saturating_add(DELIVERY_TIME));
+        let unknown = self.answer.mul_f64(1.0 - UNKNOWN_RUN_RATIO);
         match estimate {
             Some(RunEstimate { upper: Some(upper), .. }) => before_end(upper),
             Some(RunEstimate { likely, upper: None }) => unknown.min(before_end(likely)),
@@ -85,10 +106,10 @@
         estimate: Option<RunEstimate>,
         streamed: Duration,
     ) -> Duration {
-        if deadline <= self.end {
+        if deadline <= self.answer {
             return deadline;
         }
         let left = estimate.map_or(Duration::ZERO, |estimate| estimate.likely);
-        self.end.saturating_sub(left.saturating_sub(streamed).saturating_add(DELIVERY_TIME))
+        self.answer.saturating_sub(left.saturating_sub(streamed).saturating_add(DELIVERY_TIME))
     }
 }
--- a/crates/entry/src/process/drain.rs
+++ b/crates/entry/src/process/drain.rs
@@ -6,11 +6,12 @@
 //! 3. [`close`]: a connection is closed in two steps, so that its caller receives all of its last response.
 //!    The VM ends its own side once everything has been written, and reads until the caller ends the
 //!    other. The connection counts as open until then.
-//! 4. [`Phase::Ending`]: shortly before the grace period ends, requests that still run get their final
-//!    response.
+//! 4. [`Phase::Answering`], then [`Phase::Ending`]: shortly before the grace period ends, requests without a
+//!    response get their final one, and streams that still run break off.
 //! 5. [`Drain::run`] returns when no request and no connection is open, and the process may end.
 //!
-//! The grace period counts from when the signal may have been sent, not from when it was handled.
+//! The signal may have been sent some time before it was noticed. What the VM takes from then on, and its
+//! final responses, allow for that.
 
 use std::time::Duration;
 
@@ -57,9 +58,8 @@
     /// Starts to leave; returns the times of the shutdown.
     pub(crate) fn begin(&self, grace: Duration) -> LeaveTimes {
         let (waited, late) = (self.ticks.waited(), self.ticks.worst());
-        let schedule = ShutdownSchedule::new(grace.saturating_sub(late));
-        let now = Instant::now();
-        let times = LeaveTimes { began: now.checked_sub(waited).unwrap_or(now), schedule };
+        let schedule = ShutdownSchedule::new(grace).noticed_after(waited, late);
+        let times = LeaveTimes { began: Instant::now(), schedule };
         info!(vm = self.vm.as_str(), requests = self.requests.len(),
             connections = self.connections.get(), waited_ms = waited.as_millis() as u64,
             late_ms = late.as_millis() as u64; "the VM is leaving");
@@ -72,13 +72,17 @@
     /// little longer.
     pub(crate) async fn run(&self, times: LeaveTimes) {
         let LeaveTimes { began, schedule } = times;
-        let end = began + schedule.end;
+        let (answer, end) = (began + schedule.answer, began + schedule.end);
         tokio::time::sleep_until(began + schedule.close).await;
         self.shutdown.enter(Phase::Closing);
         // All connections close now; only those with a request or a response are waited for.
         tokio::time::sleep(LEAVE_CHECK_INTERVAL).await;
         while Instant::now() < end && self.is_busy() {
-            tokio::time::sleep_until(end.min(Instant::now() + LEAVE_CHECK_INTERVAL)).await;
+            let next = if Instant::now() < answer { answer } else { end };
+            tokio::time::sleep_until(next.min(Instant::now() + LEAVE_CHECK_INTERVAL)).await;
+            if Instant::now() >= answer {
+                self.shutdown.enter(Phase::Answering);
+            }
         }
         if self.is_busy() {
             warn!(vm = self.vm.as_str(), requests = self.requests.len(),
--- a/crates/entry/src/process/shutdown.rs
+++ b/crates/entry/src/process/shutdown.rs
@@ -19,7 +19,9 @@
     Leaving,
     /// The process closes idle connections and accepts no new ones.
     Closing,
-    /// The grace period is over: the requests that still run are aborted.
+    /// Requests of which no response has begun get their final one.
+    Answering,
+    /// The grace period is over: the streams that still run are aborted.
     Ending,
 }
 
@@ -33,7 +35,7 @@
 /// The times of a shutdown.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LeaveTimes {
-    /// When the process was told to leave.
+    /// When the process noticed that it is to leave.
     pub(crate) began: Instant,
     /// The stages, counted from then.
     pub(crate) schedule: ShutdownSchedule,
@@ -146,9 +148,9 @@
         Some(began + by(&schedule, deadline.saturating_duration_since(began)))
     }
 
-    /// Returns the time until the requests that still run are ended; zero if the process is not leaving.
+    /// Returns the time until requests without a response are answered; zero if the process is not leaving.
     pub(crate) fn time_left(&self) -> Duration {
-        let end = self.0.borrow().times.map(|times| times.began + times.schedule.end);
+        let end = self.0.borrow().times.map(|times| times.began + times.schedule.answer);
         end.map_or(Duration::ZERO, |end| end.saturating_duration_since(Instant::now()))
     }
 
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -165,7 +165,7 @@
         let result = tokio::select! {
             // A request that is read when the process ends must not be sent and cut at once.
             biased;
-            () = self.shutdown.reached(Phase::Ending) => Err(trace.shutdown_refusal()),
+            () = self.shutdown.reached(Phase::Answering) => Err(trace.shutdown_refusal()),
             result = self.serve(request, body, arrived, &mut trace) => result,
         };
         match result {
