Failure domains that the operator empties get nothing

Callers and operators: rows op/evacuate/ZONE were not read; requests went on to the domain's endpoints (5 s after the acknowledgement: EVAC). Change, in decide: EmptiedDomains keeps the newest word on each domain by its position in the store (words in any order, a store that forgot its history or came back older); Dispatcher places and writes nothing at endpoints of emptied domains. In entry: the rows come with the configuration's feed and reads and go between VMs beside it (a fingerprint in reports and replies, all words where it differs), before the configuration, so that a VM that is ready knows them. New requests, repeats, resumed streams, retries, orders and requests for reports do not go there; what waits is placed anew; the placement treats these endpoints as ones that leave, and loads elsewhere. A request that only emptied domains could serve is refused at once with 503, not run, and Retry-After.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -41,6 +41,7 @@
 };
 pub use process::allowance::{CEILING_TERM, Limit, PARTS_PER_MILLION};
 pub use process::config_stamp::ConfigStamp;
+pub use process::emptied_domains::{DomainWord, EmptiedDomains, LOST_WORD_TERM};
 pub use process::limits::account::{Action, Reservation, Ticket, TokenAccount};
 pub use process::limits::homes::{
     DEFAULT_HOMES, domain_weights, home_count, home_vms, lender_order, target_weight,
--- a/crates/decide/src/process/mod.rs
+++ b/crates/decide/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod allowance;
 pub(crate) mod config_stamp;
+pub(crate) mod emptied_domains;
 pub(crate) mod limits;
 pub(crate) mod listed_position;
 pub(crate) mod members;
--- a/crates/decide/src/request/availability.rs
+++ b/crates/decide/src/request/availability.rs
@@ -62,6 +62,8 @@
     QuietUntil(Duration),
     /// The endpoint leaves.
     Leaving,
+    /// The endpoint's failure domain is emptied.
+    Emptied,
 }
 
 /// What endpoints' answers said about sending to them.
--- a/crates/decide/src/request/dispatch.rs
+++ b/crates/decide/src/request/dispatch.rs
@@ -91,6 +91,8 @@
     NoEndpoint,
     /// Every ready endpoint of the service leaves.
     Leaving,
+    /// Every ready endpoint of the service that does not leave is in a failure domain that is emptied.
+    Emptied,
     /// No endpoint holds the model.
     NotResident,
     /// Endpoints hold the model, but none holds the adapter.
@@ -148,6 +150,8 @@
     limits: RequestLimits,
     /// The permits of requests that were picked for endpoints, until their slots take them.
     reserved: FastMap<EndpointId, Vec<Permit>>,
+    /// The failure domains whose endpoints get nothing.
+    emptied: FastSet<DomainId>,
 }
 
 /// The result of comparing endpoints for a request.
@@ -195,9 +199,20 @@
             availability: AvailabilityLog::default(),
             limits: RequestLimits::default(),
             reserved: FastMap::default(),
+            emptied: FastSet::default(),
         }
     }
 
+    /// Sets the failure domains whose endpoints get nothing.
+    pub fn set_emptied(&mut self, emptied: FastSet<DomainId>) {
+        self.emptied = emptied;
+    }
+
+    /// Returns whether an endpoint's failure domain is emptied.
+    fn is_emptied(&self, info: &EndpointInfo) -> bool {
+        self.emptied.contains(&info.domain)
+    }
+
     /// Adds or updates an endpoint; a new process instance of it holds no models.
     pub fn upsert(&mut self, name: &EndpointId, info: EndpointInfo) {
         if let Some(endpoint) = self.endpoints.get_mut(name) {
@@ -289,13 +304,18 @@
 
     /// Returns whether an instance of an endpoint may be sent to now.
     pub fn availability(&self, name: &EndpointId, instance: u64, now: Duration) -> Availability {
+        let listed = self.endpoints.get(name).map(|endpoint| &endpoint.info);
+        if listed.is_some_and(|info| self.is_emptied(info)) {
+            return Availability::Emptied;
+        }
         self.availability.check(name, instance, now)
     }
 
     /// Returns whether an instance of an endpoint leaves, by its answers or by its entry in the list.
     pub fn is_leaving(&self, name: &EndpointId, instance: u64) -> bool {
         let listed = self.endpoints.get(name).map(|endpoint| &endpoint.info);
-        listed.is_some_and(|info| info.instance == instance && !info.ready)
+        listed
+            .is_some_and(|info| self.is_emptied(info) || (info.instance == instance && !info.ready))
             || self.availability.check(name, instance, Duration::ZERO) == Availability::Leaving
     }
 
@@ -360,7 +380,7 @@
     ) -> bool {
         let listed = self.endpoints.get(name).map(|endpoint| &endpoint.info);
         let is_listed = listed.is_some_and(|info| info.ready && info.instance == instance);
-        if !is_listed || self.availability.check(name, instance, now) != Availability::Open {
+        if !is_listed || self.availability(name, instance, now) != Availability::Open {
             return false;
         }
         let instance = (name.clone(), instance);
@@ -381,7 +401,8 @@
         let names = self.services.get(&needs.service).into_iter().flatten();
         let limited = names.filter_map(|name| {
             let endpoint = self.endpoints.get(name)?;
-            let can_run = endpoint.info.ready && endpoint.shortage(needs, now).is_none();
+            let is_open = endpoint.info.ready && !self.is_emptied(&endpoint.info);
+            let can_run = is_open && endpoint.shortage(needs, now).is_none();
             let rate = self.limit(name, endpoint.info.instance)?;
             can_run.then(|| (name.clone(), rate))
         });
@@ -468,7 +489,7 @@
                     && endpoint.info.ready
                     && endpoint.info.service == *service
                     && endpoint.shortage(&needs, now).is_none()
-                    && self.availability.check(name, *instance, now) == Availability::Open
+                    && self.availability(name, *instance, now) == Availability::Open
             })
         };
         candidates.iter().filter(can_take).cloned().collect()
@@ -514,7 +535,7 @@
         let (mut leaving, mut quiet) = (0, 0);
         for (name, endpoint) in self.endpoints.iter().filter(|(_, endpoint)| endpoint.info.ready) {
             match self.availability.check(name, endpoint.info.instance, now) {
-                Availability::Open => {}
+                Availability::Open | Availability::Emptied => {}
                 Availability::QuietUntil(_) => quiet += 1,
                 Availability::Leaving => leaving += 1,
             }
@@ -633,6 +654,10 @@
                 continue;
             }
             let availability = self.availability.check(name, endpoint.info.instance, now);
+            if self.is_emptied(&endpoint.info) {
+                shortage = shortage.more_specific(Shortage::Emptied);
+                continue;
+            }
             if availability == Availability::Leaving {
                 shortage = shortage.more_specific(Shortage::Leaving);
                 continue;
@@ -814,12 +839,13 @@
         let rank = |shortage: Shortage| match shortage {
             Shortage::NoEndpoint => 0,
             Shortage::Leaving => 1,
-            Shortage::NotResident => 2,
-            Shortage::NoAdapter => 3,
-            Shortage::Tried => 4,
-            Shortage::Quiet(_) => 5,
-            Shortage::Limited(_) => 6,
-            Shortage::Full => 7,
+            Shortage::Emptied => 2,
+            Shortage::NotResident => 3,
+            Shortage::NoAdapter => 4,
+            Shortage::Tried => 5,
+            Shortage::Quiet(_) => 6,
+            Shortage::Limited(_) => 7,
+            Shortage::Full => 8,
         };
         if rank(other) > rank(self) { other } else { self }
     }
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -227,3 +227,45 @@
         assert!(!may_write(&mut dispatcher, name), "{name}");
     }
 }
+
+// Endpoints of an emptied domain get nothing: no first send, no repeat, and nothing that was placed
+// before but not written yet.
+#[test]
+fn emptied_domain_gets_nothing() {
+    let mut dispatcher = dispatcher(&["e1"]);
+    let other = EndpointInfo { domain: "b".into(), ..info() };
+    dispatcher.upsert(&"e2".into(), other);
+    let resident: ResidentModels = [("m".into(), FastSet::default())].into_iter().collect();
+    dispatcher.set_resident(&"e2".into(), resident);
+    dispatcher.set_emptied(["a".into()].into_iter().collect());
+    assert!(!dispatcher.may_write(&"e1".into(), 1, &mut None, NOW));
+    assert!(dispatcher.is_leaving(&"e1".into(), 1));
+    for ticket in 0..SLOTS.into() {
+        let picked = dispatcher.pick(&request(NOW + LATENCY_TARGET, 1), ticket, NOW);
+        assert!(!matches!(picked, Ok(name) if name == "e1"));
+    }
+    let tried = Requirements { tried: vec!["e2".into()], ..request(NOW + LATENCY_TARGET, 1) };
+    assert_eq!(dispatcher.pick(&tried, 90, NOW), Err(Shortage::Tried));
+    dispatcher.set_emptied(["a".into(), "b".into()].into_iter().collect());
+    assert_eq!(dispatcher.pick(&tried, 91, NOW), Err(Shortage::Emptied));
+    dispatcher.set_emptied(FastSet::default());
+    assert_eq!(dispatcher.pick(&tried, 92, NOW), Ok("e1".into()));
+    assert!(dispatcher.may_write(&"e1".into(), 1, &mut None, NOW));
+}
+
+// What waits for an endpoint whose domain is emptied goes elsewhere.
+#[test]
+fn waiting_request_leaves_an_emptied_domain() {
+    let mut dispatcher = dispatcher(&["e1"]);
+    report_load(&mut dispatcher, "e1", SLOTS, 2);
+    dispatcher.enqueue(1, request(NOW + LATENCY_TARGET, 1));
+    dispatcher.set_emptied(["a".into()].into_iter().collect());
+    report_load(&mut dispatcher, "e1", 0, 0);
+    assert!(dispatcher.dispatch_waiting(NOW).is_empty());
+    let other = EndpointInfo { domain: "b".into(), ..info() };
+    dispatcher.upsert(&"e2".into(), other);
+    let resident: ResidentModels = [("m".into(), FastSet::default())].into_iter().collect();
+    dispatcher.set_resident(&"e2".into(), resident);
+    let placed = dispatcher.dispatch_waiting(NOW);
+    assert_eq!(placed.iter().map(|(_, name, _)| name.as_str()).collect::<Vec<_>>(), ["e2"]);
+}
--- a/crates/entry/src/edge/mod.rs
+++ b/crates/entry/src/edge/mod.rs
@@ -12,9 +12,9 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    EndpointId, EndpointInfo, EndpointReport, Fence, FleetConfig, Load, ModelId, ModelRef,
-    NamedLimit, OrderCommand, OrderReply, PartId, QuietRequest, Refusal, StoreEra, StorePosition,
-    Tokens, VmId, WorkspaceId,
+    DomainId, EndpointId, EndpointInfo, EndpointReport, Fence, FleetConfig, Load, ModelId,
+    ModelRef, NamedLimit, OrderCommand, OrderReply, PartId, QuietRequest, Refusal, StoreEra,
+    StorePosition, Tokens, VmId, WorkspaceId,
 };
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
@@ -266,6 +266,10 @@
     /// Fails with the reason.
     fn read_config(&self, row: &StoreRow) -> Option<Result<FleetConfig, String>>;
 
+    /// Returns the failure domain that a row of [`Table::Operator`] empties while it is there; `None` for
+    /// any other row.
+    fn read_emptied(&self, row: &StoreRow) -> Option<DomainId>;
+
     /// Reads a row of [`Table::Endpoints`]; fails with the reason.
     fn read_endpoint(&self, row: &StoreRow) -> Result<ListedEndpoint, String>;
 
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -31,6 +31,7 @@
 use crate::process::active_fleet::ActiveFleet;
 use crate::process::asks::{permit_grant, permit_needs};
 use crate::process::crashes::{Crashes, ToldParts};
+use crate::process::domain_words::DomainWords;
 use crate::process::endpoint_list::{EndpointList, ListEntry, ListUpdate};
 use crate::process::freshness::Freshness;
 use crate::process::link::OpenMessage;
@@ -124,6 +125,7 @@
     pub(crate) protocol: Arc<dyn Protocol>,
     pub(crate) pool: Pool,
     pub(crate) active_fleet: Arc<ActiveFleet>,
+    pub(crate) domain_words: Arc<DomainWords>,
     pub(crate) endpoint_list: Arc<EndpointList>,
     pub(crate) scheduler: Arc<Scheduler>,
     pub(crate) quotas: Arc<Quotas>,
@@ -488,6 +490,8 @@
         let position = status.position();
         let era = status.config_stamp().row.era.max(status.listed_position().era);
         self.on_era(era, "a report", now);
+        // Before the configuration, whose position says up to where the table is known.
+        self.handles.domain_words.on_told(&status.domains, &status.vm);
         if !status.config_row.is_empty() {
             self.handles.active_fleet.offer_packed(&status.config_row, status.config_stamp().row);
             self.apply_config(now);
@@ -637,6 +641,8 @@
         let mut update = LeadMessage { tells_config: true, ..LeadMessage::default() };
         let stamp = self.handles.active_fleet.stamp();
         update.set_config_stamp(stamp);
+        (update.domains_known, update.domains) =
+            self.handles.domain_words.tell(Some(status.domains_known));
         let Some(peer) = self.peers.get_mut(&id) else { return update };
         peer.config = peer.config.max(status.config_stamp());
         if peer.config < stamp {
--- a/crates/entry/src/process/coordinator/placement.rs
+++ b/crates/entry/src/process/coordinator/placement.rs
@@ -227,7 +227,7 @@
     /// Updates the planners with the demand of all VMs and returns the orders to send now.
     ///
     /// Without a quiet period no orders may be given, and only the planners are updated. Endpoints
-    /// that leave take no part, and those that want quiet get no orders.
+    /// that leave or whose domain is emptied take no part, and those that want quiet get no orders.
     pub(crate) fn plan(
         &mut self,
         fleet: &FleetConfig,
@@ -271,7 +271,10 @@
                         let slots = f64::from(listed.info.slots);
                         view.limited = limit.rate < slots * LOW_LIMIT_PER_SLOT;
                     }
-                    (availability != Availability::Leaving).then_some(view)
+                    // What an emptied domain holds is loaded elsewhere, as with endpoints that leave.
+                    let stays =
+                        !matches!(availability, Availability::Leaving | Availability::Emptied);
+                    stays.then_some(view)
                 })
                 .collect();
             views.sort_by(|a, b| a.name.cmp(&b.name));
--- a/crates/entry/src/process/follow.rs
+++ b/crates/entry/src/process/follow.rs
@@ -12,6 +12,7 @@
 use crate::edge::clock::boot_now;
 use crate::edge::{Store, StoreError, StoreRows, Table};
 use crate::process::active_fleet::ActiveFleet;
+use crate::process::domain_words::DomainWords;
 use crate::process::endpoint_list::EndpointList;
 use crate::process::freshness::Freshness;
 use crate::process::metrics::{Metrics, StoreCall};
@@ -36,8 +37,8 @@
 /// The part of the process that a table's rows are applied to.
 #[derive(Clone)]
 pub(crate) enum Sink {
-    /// The configuration in force.
-    Config(Arc<ActiveFleet>),
+    /// The configuration in force and the failure domains that are emptied.
+    Config(Arc<ActiveFleet>, Arc<DomainWords>),
     /// The list of endpoints.
     Endpoints(Arc<EndpointList>),
 }
@@ -45,7 +46,7 @@
 impl Sink {
     fn table(&self) -> Table {
         match self {
-            Sink::Config(_) => Table::Operator,
+            Sink::Config(..) => Table::Operator,
             Sink::Endpoints(_) => Table::Endpoints,
         }
     }
@@ -53,7 +54,7 @@
     /// Returns how the calls for the table are counted.
     fn call(&self) -> StoreCall {
         match self {
-            Sink::Config(_) => StoreCall::Config,
+            Sink::Config(..) => StoreCall::Config,
             Sink::Endpoints(_) => StoreCall::Endpoints,
         }
     }
@@ -61,7 +62,9 @@
     /// Applies rows; a whole table comes with the lowest position that the store has shown in its era.
     fn on_rows(&self, rows: &StoreRows, snapshot: Option<StorePosition>) {
         match self {
-            Sink::Config(active_fleet) => {
+            Sink::Config(active_fleet, domain_words) => {
+                // Before the configuration, whose position says up to where the table is known.
+                domain_words.on_rows(rows, snapshot);
                 for row in &rows.rows {
                     active_fleet.offer(row, "store");
                 }
@@ -78,8 +81,8 @@
         match (self, follower) {
             // The configuration is large and rarely changes: for a relay, following the store is
             // cheaper than a message from another domain.
-            (Sink::Config(_), Follower::Relay) => false,
-            (Sink::Config(_), Follower::Member) | (Sink::Endpoints(_), _) => true,
+            (Sink::Config(..), Follower::Relay) => false,
+            (Sink::Config(..), Follower::Member) | (Sink::Endpoints(_), _) => true,
         }
     }
 
@@ -87,7 +90,7 @@
     /// relayed.
     fn version(&self) -> StorePosition {
         match self {
-            Sink::Config(active_fleet) => active_fleet.row_version(),
+            Sink::Config(active_fleet, _) => active_fleet.row_version(),
             Sink::Endpoints(list) => list.version(),
         }
     }
@@ -95,7 +98,7 @@
     /// Waits before a VM that starts believes the store's configuration: after a restore it may be an
     /// older one, and another VM may tell the newest.
     async fn hold_back(&self, rows: &StoreRows, started: Instant, roster: &RosterView) {
-        let Self::Config(active_fleet) = self else { return };
+        let Self::Config(active_fleet, _) = self else { return };
         let can_be_older = rows.version.era > 0 && !roster.is_first_start();
         if !can_be_older || active_fleet.stamp() != ConfigStamp::NONE {
             return;
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -24,6 +24,7 @@
 use crate::process::asks::{Asks, RELAY_RETRY_DELAY, grant_message, permit_needs};
 use crate::process::coordinator::{CoordinatorEvent, PeerId};
 use crate::process::crashes::Crashes;
+use crate::process::domain_words::DomainWords;
 use crate::process::endpoint_list::{EndpointList, ListEntry, ListUpdate};
 use crate::process::freshness::Freshness;
 use crate::process::metrics::Metrics;
@@ -66,6 +67,7 @@
     pub(crate) settings: Arc<EntrySettings>,
     pub(crate) life: Incarnation,
     pub(crate) active_fleet: Arc<ActiveFleet>,
+    pub(crate) domain_words: Arc<DomainWords>,
     pub(crate) endpoint_list: Arc<EndpointList>,
     pub(crate) scheduler: Arc<Scheduler>,
     pub(crate) quotas: Arc<Quotas>,
@@ -525,6 +527,8 @@
         // The other VM's configuration; the maximum, so that no row is sent, until the other VM has
         // told it.
         let mut known = ConfigStamp::MAX;
+        // Which words on failure domains the other VM knows; `None` until it has told it.
+        let mut known_domains = None;
         let mut full = true;
         // The number of the last end of an endpoint that the other VM was told.
         let mut told_ends = 0;
@@ -580,6 +584,7 @@
                     heard = Instant::now();
                     if message.tells_config {
                         known = message.config_stamp();
+                        known_domains = Some(message.domains_known);
                     }
                     self.apply(&message);
                     let open = OpenMessage { _permit: permit, _memory: memory };
@@ -633,6 +638,7 @@
                 return end;
             }
             let mut status = self.status(known, position, full);
+            (status.domains_known, status.domains) = self.domain_words.tell(known_domains);
             status.heard = clock.map_or(0, |(leader, at)| {
                 leader + (boot_now().saturating_sub(at)).as_millis() as u64
             });
@@ -703,6 +709,8 @@
         if let Some(roster) = &message.roster {
             self.roster.update(&read_roster(roster));
         }
+        // Before the configuration, whose position says up to where the table is known.
+        self.domain_words.on_told(&message.domains, "another VM");
         if !message.config_row.is_empty() {
             self.active_fleet.offer_packed(&message.config_row, message.config_stamp().row);
         }
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -63,6 +63,7 @@
     pub(crate) held_parts: Gauge<u64>,
     unavailable: Counter<u64>,
     leaving: Gauge<u64>,
+    emptied: Gauge<u64>,
     quiet: Gauge<u64>,
     limited: Gauge<u64>,
     pub(crate) limited_answers: Counter<u64>,
@@ -104,7 +105,12 @@
             unavailable: counter(
                 &meter,
                 "unavailable",
-                "requests whose endpoints leave or are quiet",
+                "requests whose endpoints leave, are quiet or in emptied domains",
+            ),
+            emptied: gauge(
+                &meter,
+                "emptied",
+                "1 for a failure domain that is emptied, 0 once taken back",
             ),
             leaving: gauge(&meter, "leaving", "endpoints known to leave by their answers"),
             quiet: gauge(&meter, "quiet", "endpoints that want nothing from this VM for now"),
@@ -172,7 +178,8 @@
         self.responses.add(1, &[route, KeyValue::new("kind", kind)]);
     }
 
-    /// Counts a request for which no endpoint was free, as all `reason`: leave or want quiet.
+    /// Counts a request for which no endpoint was free, as all `reason`: leave, want quiet, are
+    /// limited or in emptied domains.
     pub(crate) fn count_unavailable(&self, reason: &'static str) {
         self.unavailable.add(1, &[KeyValue::new("reason", reason)]);
     }
@@ -188,6 +195,11 @@
         self.permits.add(u64::from(count), &[KeyValue::new("kind", kind)]);
     }
 
+    /// Records whether a failure domain is emptied.
+    pub(crate) fn record_emptied(&self, domain: &str, emptied: bool) {
+        self.emptied.record(u64::from(emptied), &[KeyValue::new("domain", domain.to_owned())]);
+    }
+
     /// Records how many endpoints leave by their answers, want quiet, and name a limit of requests.
     pub(crate) fn record_availability(&self, leaving: usize, quiet: usize, limited: usize) {
         self.limited.record(limited as u64, &[]);
--- a/crates/entry/src/process/mod.rs
+++ b/crates/entry/src/process/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod asks;
 pub(crate) mod coordinator;
 pub(crate) mod crashes;
+pub(crate) mod domain_words;
 pub(crate) mod drain;
 pub(crate) mod endpoint_list;
 pub(crate) mod follow;
--- a/crates/entry/src/process/scheduler.rs
+++ b/crates/entry/src/process/scheduler.rs
@@ -33,7 +33,7 @@
     /// Notified when a request lacks a model or an adapter, or an endpoint cannot be reached or
     /// leaves.
     pub(crate) shortage: Notify,
-    /// Notified when an endpoint wants quiet, for the requests that wait.
+    /// Notified when an endpoint wants quiet or a domain is emptied, for the requests that wait.
     quiet: Notify,
 }
 
@@ -218,6 +218,14 @@
         self.dispatch_waiting();
     }
 
+    /// Sets the failure domains whose endpoints get nothing, and looks for other endpoints for what waits.
+    pub(crate) fn set_emptied(self: &Arc<Self>, emptied: FastSet<DomainId>) {
+        self.state().dispatcher.set_emptied(emptied);
+        self.dispatch_waiting();
+        self.quiet.notify_waiters();
+        self.shortage.notify_one();
+    }
+
     /// Removes an endpoint.
     pub(crate) fn remove_endpoint(&self, name: &EndpointId) {
         let mut state = self.state();
@@ -413,7 +421,7 @@
     }
 
     /// Waits for a slot; returns `None` if no slot is free within `timeout`, or as soon as all
-    /// endpoints want quiet for longer.
+    /// endpoints want quiet for longer or are in emptied domains.
     pub(crate) async fn acquire(
         self: &Arc<Self>,
         needs: &Requirements,
@@ -436,8 +444,10 @@
                     slot = &mut receiver => return slot.ok(),
                     () = changed.as_mut() => changed.set(self.quiet.notified()),
                 }
-                if matches!(self.shortage(needs), Some(Shortage::Quiet(until)) if until > end) {
-                    return None;
+                match self.shortage(needs) {
+                    Some(Shortage::Quiet(until)) if until > end => return None,
+                    Some(Shortage::Emptied) => return None,
+                    _ => {}
                 }
             }
         };
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -20,6 +20,7 @@
 use crate::process::asks::Asks;
 use crate::process::coordinator::{Coordinator, CoordinatorEvent, Handles};
 use crate::process::crashes::Crashes;
+use crate::process::domain_words::DomainWords;
 use crate::process::drain::Drain;
 use crate::process::endpoint_list::EndpointList;
 use crate::process::follow::{Sink, TableFollower};
@@ -86,6 +87,12 @@
             relay_requests,
         ));
         let active_fleet = Arc::new(ActiveFleet::new(protocol.clone(), quotas.clone()));
+        let domain_words = Arc::new(DomainWords::new(
+            protocol.clone(),
+            scheduler.clone(),
+            freshness.clone(),
+            metrics.clone(),
+        ));
         let delay = settings.bounds.removal_delay;
         let endpoint_list =
             Arc::new(EndpointList::new(protocol.clone(), scheduler.clone(), events.clone(), delay));
@@ -120,6 +127,7 @@
             protocol,
             pool: pool.clone(),
             active_fleet: active_fleet.clone(),
+            domain_words: domain_words.clone(),
             endpoint_list: endpoint_list.clone(),
             scheduler: scheduler.clone(),
             quotas: quotas.clone(),
@@ -134,6 +142,7 @@
             settings: settings.clone(),
             life,
             active_fleet: active_fleet.clone(),
+            domain_words: domain_words.clone(),
             endpoint_list: endpoint_list.clone(),
             scheduler: scheduler.clone(),
             quotas: quotas.clone(),
@@ -161,7 +170,7 @@
         if let Some(listener) = metrics_listener {
             tasks.spawn(status::accept(listener, StatusPage::Metrics(metrics.clone())));
         }
-        let config = Sink::Config(active_fleet);
+        let config = Sink::Config(active_fleet, domain_words.clone());
         for sink in [config, Sink::Endpoints(endpoint_list)] {
             let follower = TableFollower {
                 store: store.clone(),
@@ -183,7 +192,7 @@
         tasks.spawn(link::accept(peer, services, pool.budget().clone()));
         tasks.spawn(link.run());
         let ticks = Ticks::new(UPKEEP_INTERVAL);
-        tasks.spawn(run_upkeep(scheduler, crashes, pool, ticks.clone()));
+        tasks.spawn(run_upkeep(scheduler, crashes, domain_words, pool, ticks.clone()));
         let drain = Drain {
             vm: settings.vm.clone(),
             shutdown: shutdown_sender,
@@ -214,7 +223,13 @@
 
 /// Gives free slots to waiting requests and prunes idle connections at intervals, since time alone
 /// can make an endpoint available again or a connection too old.
-async fn run_upkeep(scheduler: Arc<Scheduler>, crashes: Arc<Crashes>, pool: Pool, own: Ticks) {
+async fn run_upkeep(
+    scheduler: Arc<Scheduler>,
+    crashes: Arc<Crashes>,
+    domain_words: Arc<DomainWords>,
+    pool: Pool,
+    own: Ticks,
+) {
     let mut ticks = tokio::time::interval(UPKEEP_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -223,6 +238,7 @@
         scheduler.dispatch_waiting();
         scheduler.record_availability();
         crashes.prune();
+        domain_words.expire();
         scheduler.prune_limits();
         pool.prune();
     }
--- a/crates/entry/src/request/slot.rs
+++ b/crates/entry/src/request/slot.rs
@@ -51,6 +51,7 @@
                 (max_wait.min(NO_ENDPOINT_TIMEOUT), DEFAULT_RETRY_AFTER * 2)
             }
             Shortage::Tried => (Duration::ZERO, DEFAULT_RETRY_AFTER),
+            Shortage::Emptied => return Err(self.emptied_refusal()),
             Shortage::Quiet(until) | Shortage::Limited(until)
                 if until.saturating_sub(boot_now()) < max_wait.min(left) =>
             {
@@ -78,6 +79,10 @@
                 trace.note_shortage(Shortage::Limited(until));
                 return Err(self.limited_refusal(needs));
             }
+            Some(Shortage::Emptied) => {
+                trace.note_shortage(Shortage::Emptied);
+                return Err(self.emptied_refusal());
+            }
             _ => {}
         }
         if shortage == Shortage::Leaving {
@@ -87,9 +92,11 @@
             Shortage::Full | Shortage::NoAdapter | Shortage::Quiet(_) | Shortage::Limited(_) => {
                 ErrorKind::Overloaded
             }
-            Shortage::NoEndpoint | Shortage::Leaving | Shortage::NotResident | Shortage::Tried => {
-                ErrorKind::NoEndpoint
-            }
+            Shortage::NoEndpoint
+            | Shortage::Leaving
+            | Shortage::Emptied
+            | Shortage::NotResident
+            | Shortage::Tried => ErrorKind::NoEndpoint,
         };
         Err(Refusal::not_run(kind, format!("no place: {shortage:?}")).retry_after(retry_after))
     }
@@ -107,6 +114,14 @@
         }
     }
 
+    /// Builds the refusal of a request whose endpoints are all in failure domains that are emptied.
+    fn emptied_refusal(&self) -> Refusal {
+        self.metrics.count_unavailable("emptied");
+        let detail =
+            "all endpoints are in failure domains that the operator has emptied".to_owned();
+        Refusal::not_run(ErrorKind::NoEndpoint, detail).retry_after(DEFAULT_RETRY_AFTER * 2)
+    }
+
     /// Builds the refusal of a request whose remaining endpoints have all been sent as many requests as
     /// the limits allow that they name.
     fn limited_refusal(&self, needs: &Requirements) -> Refusal {
@@ -165,6 +180,10 @@
             return Ok(slot);
         }
         trace.end_wait();
+        if self.scheduler.shortage(needs) == Some(Shortage::Emptied) {
+            trace.note_shortage(Shortage::Emptied);
+            return Err(self.emptied_refusal());
+        }
         if let Some(left) = self.time_to_send(job)
             && left < load_time
         {
--- a/crates/entry/src/request/trace.rs
+++ b/crates/entry/src/request/trace.rs
@@ -98,6 +98,7 @@
             Shortage::NotResident => "model not resident",
             Shortage::NoAdapter => "adapter not resident",
             Shortage::Leaving => "all leave",
+            Shortage::Emptied => "all in emptied domains",
             Shortage::Tried => "all tried",
             Shortage::Quiet(_) => "all quiet",
             Shortage::Limited(_) => "all limited",
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -124,6 +124,31 @@
     /// The held parts of prompts for which the sender has a request that could be tried.
     #[prost(string, repeated, tag = "37")]
     pub trial_asks: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Which words on failure domains the sender knows; 0 if none.
+    #[prost(fixed64, tag = "38")]
+    pub domains_known: u64,
+    /// All words on failure domains, if the receiver does not know the same ones.
+    #[prost(message, repeated, tag = "39")]
+    pub domains: ::prost::alloc::vec::Vec<EmptiedDomain>,
+}
+/// The operator's word on a failure domain.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EmptiedDomain {
+    /// The name of the domain.
+    #[prost(string, tag = "1")]
+    pub domain: ::prost::alloc::string::String,
+    /// Whether its endpoints get nothing.
+    #[prost(bool, tag = "2")]
+    pub emptied: bool,
+    /// The position at which the word stands in the store.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// The era of `version`.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
+    /// Whether the word may come from the copy from which the store was restored.
+    #[prost(bool, tag = "5")]
+    pub restored: bool,
 }
 /// The limit of requests of an endpoint that is in force, or has ended.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -498,6 +523,12 @@
     /// All parts of prompts that the sender finds in doubt, if `tells_parts` is set.
     #[prost(message, repeated, tag = "39")]
     pub doubts: ::prost::alloc::vec::Vec<DoubtfulPart>,
+    /// Which words on failure domains the sender knows, if `tells_config` is set; 0 if none.
+    #[prost(fixed64, tag = "40")]
+    pub domains_known: u64,
+    /// All words on failure domains, if the receiver does not know the same ones.
+    #[prost(message, repeated, tag = "41")]
+    pub domains: ::prost::alloc::vec::Vec<EmptiedDomain>,
 }
 /// The relays of the fleet.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/entry/src/wire/mod.rs
+++ b/crates/entry/src/wire/mod.rs
@@ -12,10 +12,10 @@
 
 pub(crate) use fleet::frame::Body;
 pub(crate) use fleet::{
-    AdapterUse, Ask, Ceiling, Demand, DoubtfulPart, EndpointEnd, EndpointLimit, FloorSpend, Frame,
-    Grant, Held, HeldModel, HeldPart, Lead, LeavingEndpoint, LimitRaise, ListRow, Outcome,
-    PermitWant, Permits, Position, Prompt, Refund, Relay, Role, Roster, SoundPart, Spend, Status,
-    Wait,
+    AdapterUse, Ask, Ceiling, Demand, DoubtfulPart, EmptiedDomain, EndpointEnd, EndpointLimit,
+    FloorSpend, Frame, Grant, Held, HeldModel, HeldPart, Lead, LeavingEndpoint, LimitRaise,
+    ListRow, Outcome, PermitWant, Permits, Position, Prompt, Refund, Relay, Role, Roster,
+    SoundPart, Spend, Status, Wait,
 };
 
 impl Status {
