A cold endpoint has a limit of requests for all VMs together

Callers saw: a cold endpoint got its usual share from every VM and crashed; nothing read how long an endpoint is cold.

Cause: the list's time left and the configuration's rate were not read.

Change: a cold span is one more limit of request_limits, told by the list instead of an answer, which ends by itself; permits, accounts and the leader's part are those that exist. What a cold endpoint gets is counted by the second, so fewer permits are open at once. An entry whose time left has risen is relayed like a new endpoint. A relay that is issued permits counts as one that hears of a leader.

--- a/crates/decide/src/process/request_limits/account.rs
+++ b/crates/decide/src/process/request_limits/account.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::cold;
 use super::log::Rate;
 use crate::ids::VmId;
 use crate::map::FastMap;
@@ -156,6 +157,8 @@
     pub(super) bucket: Option<Bucket>,
     /// For the leader's orders and requests for reports.
     pub(super) own: Option<Bucket>,
+    /// Whether the endpoint is cold: then what reaches it is counted by the second.
+    pub(super) is_cold: bool,
 }
 
 impl Account {
@@ -192,7 +195,18 @@
         let idle = (rate * part * IDLE_TIME.as_secs_f64()).min(MAX_IDLE_BURST);
         let most = burst(rate * part).max(idle - f64::from(open));
         self.bucket(rate, now).fill(rate * part, returned, most, now);
-        max_open(rate).saturating_sub(open)
+        self.max_open(rate).saturating_sub(open)
+    }
+
+    /// Returns how many permits may be open at once.
+    fn max_open(&self, rate: Rate) -> u32 {
+        let most = max_open(rate);
+        if self.is_cold { most.min(cold::max_open(rate, burst(rate))) } else { most }
+    }
+
+    /// Begins to issue permits at once, as nobody has issued any.
+    pub(super) fn begin(&mut self, now: Duration) {
+        self.bucket = Some(Bucket { tokens: 0.0, filled: now });
     }
 
     /// Records that a request looks for a permit; returns whether so few do that this relay asks for single
@@ -272,7 +286,12 @@
     }
 
     pub(super) fn bucket(&mut self, rate: Rate, now: Duration) -> &mut Bucket {
-        self.bucket.get_or_insert_with(|| Bucket::new(rate, now))
+        let is_cold = self.is_cold;
+        self.bucket.get_or_insert_with(|| match is_cold {
+            // Within a second, relays may still get permits of the former issuer.
+            true => Bucket { tokens: -rate * TAKEOVER_TIME.as_secs_f64(), filled: now },
+            false => Bucket::new(rate, now),
+        })
     }
 
     /// Returns how many requests wait in the fleet, as far as is known.
--- /dev/null
+++ b/crates/decide/src/process/request_limits/cold.rs
@@ -0,0 +1,92 @@
+//! Which endpoints are cold, by the platform's list, and how many requests they take meanwhile.
+//!
+//! Unlike a limit that an answer names, this one is told by the list to every VM that knows the endpoint, and
+//! it ends by itself. A VM that hears of it late counts the time left from then on, so it keeps to the limit
+//! longer than it has to.
+
+use std::time::Duration;
+
+use super::log::Rate;
+use crate::ids::ServiceId;
+use crate::map::FastMap;
+use crate::request::availability::EndpointInstance;
+
+/// How many times its rate a cold endpoint takes in a second, and how many requests beyond that.
+const BOUND: (f64, f64) = (1.5, 5.0);
+
+/// A change at a cold endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ColdChange {
+    /// It is cold now and was not, or had less time left.
+    Began,
+    /// It is no longer cold.
+    Ended,
+}
+
+#[derive(Debug, Clone)]
+struct Span {
+    service: ServiceId,
+    until: Duration,
+}
+
+/// The cold endpoints.
+#[derive(Debug, Clone, Default)]
+pub(super) struct ColdLog {
+    spans: FastMap<EndpointInstance, Span>,
+    /// The requests a second that a cold endpoint of a service takes.
+    rates: FastMap<ServiceId, Rate>,
+}
+
+impl ColdLog {
+    pub(super) fn set_rates(&mut self, rates: FastMap<ServiceId, Rate>) {
+        self.rates = rates;
+    }
+
+    /// Applies the newest entry of an instance.
+    pub(super) fn on_listed(
+        &mut self,
+        instance: &EndpointInstance,
+        service: &ServiceId,
+        left: Duration,
+        now: Duration,
+    ) -> Option<ColdChange> {
+        if left.is_zero() {
+            let ended = self.spans.remove(instance)?;
+            return (now < ended.until).then_some(ColdChange::Ended);
+        }
+        let span = Span { service: service.clone(), until: now.saturating_add(left) };
+        let until = span.until;
+        let former = self.spans.insert(instance.clone(), span);
+        former.is_none_or(|former| former.until < until).then_some(ColdChange::Began)
+    }
+
+    pub(super) fn rate(&self, instance: &EndpointInstance) -> Option<Rate> {
+        self.rates.get(&self.spans.get(instance)?.service).copied()
+    }
+
+    pub(super) fn limited(&self) -> impl Iterator<Item = (&EndpointInstance, Rate)> {
+        let spans = self.spans.iter();
+        spans.filter_map(|(instance, span)| Some((instance, *self.rates.get(&span.service)?)))
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.spans.is_empty()
+    }
+
+    /// Forgets the spans that are over.
+    pub(super) fn expire(&mut self, now: Duration) {
+        self.spans.retain(|_, span| now < span.until);
+    }
+
+    /// Forgets the spans of instances that are gone.
+    pub(super) fn prune(&mut self, is_listed: impl Fn(&EndpointInstance) -> bool) {
+        self.spans.retain(|instance, _| is_listed(instance));
+    }
+}
+
+/// Returns how many permits for a cold endpoint may be open at once, with `burst` more that may be issued
+/// when some are used: all of them may be used within one second, beside those that fall due in it.
+pub(super) fn max_open(rate: Rate, burst: f64) -> u32 {
+    let (factor, extra) = BOUND;
+    (rate * (factor - 1.0) + extra - burst).max(1.0) as u32
+}
--- a/crates/decide/src/process/request_limits/permits.rs
+++ b/crates/decide/src/process/request_limits/permits.rs
@@ -9,10 +9,11 @@
 use std::time::Duration;
 
 use super::account::{Account, Bucket, MAX_WANTED, Permit, RelayPart, Want, issue_rate, recent};
+use super::cold::{ColdChange, ColdLog};
 use super::log::{
     LimitChange, LimitLog, LimitNumber, LimitStatement, NamedLimit, RaiseEvidence, Rate,
 };
-use crate::ids::VmId;
+use crate::ids::{ServiceId, VmId};
 use crate::map::FastMap;
 use crate::request::availability::EndpointInstance;
 
@@ -70,6 +71,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct RequestLimits {
     log: LimitLog,
+    cold: ColdLog,
     accounts: FastMap<EndpointInstance, Account>,
     role: PermitRole,
     /// When the last report was made that the leader has replied to.
@@ -130,9 +132,11 @@
             self.is_alone = is_alone;
             self.clear_buckets();
         }
+        self.cold.expire(now);
         let mut has_permits = false;
-        for (instance, rate) in self.log.limited() {
+        for (instance, rate) in limited(&self.log, &self.cold) {
             let account = self.accounts.entry(instance.clone()).or_default();
+            account.is_cold = self.cold.rate(instance).is_some();
             if let PermitRole::Relay(part) = self.role
                 && is_alone
             {
@@ -150,17 +154,67 @@
 
     /// Returns whether no instance is known to have or have had a limit.
     pub fn is_empty(&self) -> bool {
-        self.log.is_empty()
+        self.log.is_empty() && self.cold.is_empty()
     }
 
     /// Returns the limit in force for an instance.
     pub fn rate(&self, instance: &EndpointInstance) -> Option<Rate> {
+        rate(&self.log, &self.cold, instance)
+    }
+
+    /// Returns the limit in force that an instance names.
+    pub fn named_rate(&self, instance: &EndpointInstance) -> Option<Rate> {
         self.log.rate(instance)
     }
 
+    /// Returns the cold instances, and how many requests a second they take.
+    pub fn cold(&self) -> impl Iterator<Item = (&EndpointInstance, Rate)> {
+        self.cold.limited()
+    }
+
+    /// Sets how many requests a second a cold endpoint of each service takes; services that are never cold
+    /// are left out.
+    pub fn set_cold_rates(&mut self, rates: FastMap<ServiceId, Rate>) {
+        self.cold.set_rates(rates);
+    }
+
+    /// Applies how long an instance is still cold by its newest entry in the platform's list; returns the
+    /// change.
+    ///
+    /// ```
+    /// use bamboocourse_decide::{ColdChange, RequestLimits};
+    /// use std::time::Duration;
+    /// let (e1, now) = (("e1".into(), 7), Duration::from_secs(5));
+    /// let mut limits = RequestLimits::default();
+    /// limits.set_cold_rates([("chat".into(), 11.0)].into_iter().collect());
+    /// let change = limits.on_cold(&e1, &"chat".into(), Duration::from_secs(3), now);
+    /// assert_eq!(change, Some(ColdChange::Began));
+    /// assert!(!limits.is_open(&e1, now));
+    /// limits.refresh(now + Duration::from_secs(3));
+    /// assert!(limits.is_open(&e1, now + Duration::from_secs(3)));
+    /// ```
+    pub fn on_cold(
+        &mut self,
+        instance: &EndpointInstance,
+        service: &ServiceId,
+        left: Duration,
+        now: Duration,
+    ) -> Option<ColdChange> {
+        let was_limited = self.rate(instance).is_some();
+        let change = self.cold.on_listed(instance, service, left, now);
+        if self.cold.rate(instance).is_some() {
+            let account = self.accounts.entry(instance.clone()).or_default();
+            account.is_cold = true;
+            if matches!(self.role, PermitRole::Leader(_)) && !was_limited {
+                account.begin(now);
+            }
+        }
+        change
+    }
+
     /// Returns the instances with a limit in force, and the limits.
     pub fn limited(&self) -> impl Iterator<Item = (&EndpointInstance, Rate)> {
-        self.log.limited()
+        limited(&self.log, &self.cold)
     }
 
     /// Records that a request was sent by a permit.
@@ -193,7 +247,7 @@
     /// assert!(!limits.is_open(&e1, now));
     /// ```
     pub fn is_open(&self, instance: &EndpointInstance, now: Duration) -> bool {
-        if self.log.rate(instance).is_none() {
+        if self.rate(instance).is_none() {
             return true;
         }
         let account = self.accounts.get(instance);
@@ -215,7 +269,7 @@
     /// Returns whether the leader itself may send something to an instance now, ahead of requests: orders
     /// and requests for reports have a part of the limit.
     pub fn has_room_ahead(&mut self, instance: &EndpointInstance, now: Duration) -> bool {
-        let Some(rate) = self.log.rate(instance) else { return true };
+        let Some(rate) = self.rate(instance) else { return true };
         let PermitRole::Leader(_) = self.role else { return false };
         let account = self.accounts.entry(instance.clone()).or_default();
         account.own_bucket(now).has_one(issue_rate(rate) * OWN_PART, now)
@@ -226,7 +280,7 @@
     pub fn take_ahead(&mut self, instance: &EndpointInstance, now: Duration) -> bool {
         let is_allowed = self.has_room_ahead(instance, now);
         if is_allowed
-            && let Some(rate) = self.log.rate(instance)
+            && let Some(rate) = self.rate(instance)
             && let Some(account) = self.accounts.get_mut(instance)
         {
             account.own_bucket(now).tokens -= 1.0;
@@ -252,7 +306,7 @@
     ) -> Duration {
         let (mut rate, mut waiting) = (0.0, ahead);
         for instance in instances {
-            rate += issue_rate(self.log.rate(instance).unwrap_or_default());
+            rate += issue_rate(self.rate(instance).unwrap_or_default());
             let account = self.accounts.get(instance);
             waiting = waiting.max(account.map_or(0, |account| account.backlog(now)));
         }
@@ -273,7 +327,7 @@
             self.accounts.entry(instance.clone()).or_default();
         }
         let mut wants = Vec::new();
-        let log = &self.log;
+        let (log, cold) = (&self.log, &self.cold);
         let asks_leader = !self.is_alone && self.role != PermitRole::Member;
         self.accounts.retain(|instance, account| {
             account.expire(now);
@@ -294,7 +348,7 @@
             if want != Want::default() {
                 wants.push((instance.clone(), want));
             }
-            log.rate(instance).is_some()
+            rate(log, cold, instance).is_some()
         });
         LimitReport { limits: self.log.after(told), raises, wants }
     }
@@ -332,7 +386,7 @@
         let wants: FastMap<&EndpointInstance, Want> =
             wants.iter().map(|(instance, want)| (instance, *want)).collect();
         let mut issued = Vec::new();
-        let limited: Vec<_> = self.log.limited().map(|(name, rate)| (name.clone(), rate)).collect();
+        let limited: Vec<_> = self.limited().map(|(name, rate)| (name.clone(), rate)).collect();
         for (instance, rate) in limited {
             let rate = issue_rate(rate);
             let want = wants.get(&instance).copied().unwrap_or_default();
@@ -376,7 +430,7 @@
         now: Duration,
     ) -> Option<IssuedPermits> {
         let PermitRole::Leader(relays) = self.role else { return None };
-        let rate = issue_rate(self.log.rate(instance)?);
+        let rate = issue_rate(self.rate(instance)?);
         let part = self.present_part(relays, now);
         let account = self.accounts.entry(instance.clone()).or_default();
         let backlog = recent(&mut account.relays, now);
@@ -399,7 +453,7 @@
     /// Records that a request which comes through this relay looks for a permit; returns whether the relay
     /// asks the leader for one if none is at hand, as [`issue_one`](Self::issue_one) issues them.
     pub fn seek(&mut self, instance: &EndpointInstance, now: Duration) -> bool {
-        if self.log.rate(instance).is_none() || self.role == PermitRole::Member {
+        if self.rate(instance).is_none() || self.role == PermitRole::Member {
             return false;
         }
         let is_thin = self.accounts.entry(instance.clone()).or_default().seek(PERMIT_TERM, now);
@@ -476,7 +530,12 @@
             account.free.extend(std::iter::repeat_n(permit, *count as usize));
             account.expire(now);
         }
-        permits.iter().any(|permits| permits.count > 0)
+        let has_permits = permits.iter().any(|permits| permits.count > 0);
+        if has_permits && matches!(self.role, PermitRole::Relay(_)) {
+            // Whoever issues permits to this relay counts its part.
+            self.heard = self.heard.max(asked);
+        }
+        has_permits
     }
 
     /// Returns the number of the last change of a limit.
@@ -491,9 +550,11 @@
 
     /// Forgets limits that have ended or belong to instances that are gone.
     pub fn prune(&mut self, is_listed: impl Fn(&EndpointInstance) -> bool, now: Duration) {
+        self.cold.expire(now);
+        self.cold.prune(&is_listed);
         self.log.prune(is_listed, now);
-        let log = &self.log;
-        self.accounts.retain(|instance, _| log.rate(instance).is_some());
+        let (log, cold) = (&self.log, &self.cold);
+        self.accounts.retain(|instance, _| rate(log, cold, instance).is_some());
     }
 
     /// Returns which part of the limits the leader issues: that of the relays that report to it.
@@ -504,7 +565,7 @@
 
     /// Takes up to `count` permits that this VM holds.
     fn draw(&mut self, instance: &EndpointInstance, count: u32, now: Duration) -> Vec<Permit> {
-        if self.log.rate(instance).is_none() {
+        if self.rate(instance).is_none() {
             return Vec::new();
         }
         let Some(account) = self.accounts.get_mut(instance) else { return Vec::new() };
@@ -513,3 +574,23 @@
         account.free.split_off(kept)
     }
 }
+
+/// Returns the limit in force for an instance: the lower one of that which it names and that which it has
+/// while it is cold.
+fn rate(log: &LimitLog, cold: &ColdLog, instance: &EndpointInstance) -> Option<Rate> {
+    match (log.rate(instance), cold.rate(instance)) {
+        (Some(named), Some(cold)) => Some(named.min(cold)),
+        (named, cold) => named.or(cold),
+    }
+}
+
+/// Returns the instances with a limit in force, and the limits.
+fn limited<'a>(
+    log: &'a LimitLog,
+    cold: &'a ColdLog,
+) -> impl Iterator<Item = (&'a EndpointInstance, Rate)> {
+    let named = log.limited().map(|(instance, named)| {
+        (instance, cold.rate(instance).map_or(named, |cold| named.min(cold)))
+    });
+    named.chain(cold.limited().filter(|(instance, _)| log.rate(instance).is_none()))
+}
--- a/crates/decide/src/request/dispatch.rs
+++ b/crates/decide/src/request/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::ids::{AdapterId, DomainId, EndpointId, ModelId, ServiceId, VmId};
 use crate::map::{FastMap, FastSet, hash_of};
 use crate::process::request_limits::account::Permit;
+use crate::process::request_limits::cold::ColdChange;
 use crate::process::request_limits::log::{LimitChange, NamedLimit, Rate};
 use crate::process::request_limits::permits::{IssuedPermits, RequestLimits};
 use crate::request::availability::{Availability, AvailabilityLog, EndpointInstance, QuietRequest};
@@ -333,6 +334,17 @@
         self.limits.on_answer(&(name.clone(), instance), named, sent, now)
     }
 
+    /// Applies how long a known endpoint is still cold by its newest entry; returns the change.
+    pub fn on_cold(
+        &mut self,
+        name: &EndpointId,
+        left: Duration,
+        now: Duration,
+    ) -> Option<ColdChange> {
+        let info = &self.endpoints.get(name)?.info;
+        self.limits.on_cold(&(name.clone(), info.instance), &info.service, left, now)
+    }
+
     /// Returns the limits that endpoints name, and this VM's permits.
     pub fn limits(&mut self) -> &mut RequestLimits {
         &mut self.limits
@@ -496,6 +508,11 @@
         self.limits.rate(&(name.clone(), instance))
     }
 
+    /// Returns how many instances are cold.
+    pub fn cold(&self) -> usize {
+        self.limits.cold().count()
+    }
+
     /// Returns how many instances have a limit in force.
     pub fn limited(&self) -> usize {
         self.limits.limited().count()
--- a/crates/decide/src/version/fleet_config.rs
+++ b/crates/decide/src/version/fleet_config.rs
@@ -114,6 +114,8 @@
 pub struct FleetService {
     /// What its endpoints can hold; `None` for plain services.
     pub engine: Option<FleetEngine>,
+    /// How many requests a second an endpoint takes while it is cold; `None` if none is ever cold.
+    pub cold_rate: Option<f64>,
 }
 
 /// A workspace.
--- a/crates/decide/tests/limit_fleet.rs
+++ b/crates/decide/tests/limit_fleet.rs
@@ -89,6 +89,8 @@
     Cut(bool),
     /// The process of some VM is replaced.
     Restart,
+    /// A VM hears that the first endpoint is cold, and for how long.
+    Cold(usize, Duration),
 }
 
 type Limits = Vec<(EndpointInstance, LimitStatement)>;
@@ -125,6 +127,15 @@
     restarts: Option<Duration>,
 }
 
+/// How long an endpoint is cold, and how VMs hear of it.
+#[derive(Debug, Clone, Copy)]
+struct ColdSpan {
+    rate: f64,
+    until: Duration,
+    /// The longest time after which a VM hears of it.
+    word: Duration,
+}
+
 struct Fleet {
     vms: Vec<Vm>,
     relays: usize,
@@ -143,6 +154,8 @@
     arrivals: Vec<(Number, Duration)>,
     /// When each endpoint first got a request that it answers with its limit.
     first_named: FastMap<Number, Duration>,
+    /// A cold endpoint, which VMs know of from its entry on.
+    cold: Option<ColdSpan>,
     /// Until when a VM that does not lead any more goes on as the leader.
     former: Option<(usize, Duration)>,
     rng: StdRng,
@@ -178,6 +191,7 @@
             trouble,
             arrivals: Vec::new(),
             first_named: FastMap::default(),
+            cold: None,
             former: None,
             rng: StdRng::seed_from_u64(seed),
         };
@@ -356,7 +370,9 @@
                 }
                 // A new process does not know the limit at first, which counts from when it does.
                 let Vm { life, named, .. } = &self.vms[vm];
-                if *life == 0 || named.get(&number).is_some_and(|named| now >= *named + TOLD_DELAY)
+                if *life == 0
+                    || self.cold.is_some()
+                    || named.get(&number).is_some_and(|named| now >= *named + TOLD_DELAY)
                 {
                     self.arrivals.push((number, now));
                 }
@@ -408,6 +424,13 @@
                     self.vms[vm].limits.on_new_upper();
                 }
             }
+            Event::Cold(vm, left) => {
+                let rate = self.cold.map_or(0.0, |cold| cold.rate);
+                let limits = &mut self.vms[vm].limits;
+                limits.set_cold_rates([("chat".into(), rate)].into_iter().collect());
+                limits.on_cold(&endpoint(), &"chat".into(), left, now);
+                self.vms[vm].named.insert(0, now);
+            }
             Event::Restart => {
                 let vm = self.rng.random_range(0..self.vms.len());
                 if self.leader != Some(vm) {
@@ -454,6 +477,7 @@
         let Vm { upper, members, life, next_report, .. } = self.vms[vm];
         self.vms[vm] = self.process(vm, upper, members, life + 1);
         self.vms[vm].next_report = next_report;
+        self.tell_cold(vm);
         for other in &mut self.vms {
             other.told_lower.remove(&vm);
             if other.upper == Some(vm) {
@@ -462,6 +486,25 @@
         }
     }
 
+    /// Lets a VM hear of the cold endpoint, some time from now, how long it is still cold.
+    fn tell_cold(&mut self, vm: usize) {
+        let Some(ColdSpan { until, word, .. }) = self.cold else { return };
+        if until.is_zero() {
+            return;
+        }
+        let left = until.saturating_sub(self.now);
+        let delay = self.rng.random_range(500..1_000 + word.as_micros() as u64);
+        self.after(Duration::from_micros(delay), Event::Cold(vm, left));
+    }
+
+    /// Starts the endpoint, which is cold; VMs know neither of them until they hear of it.
+    fn start_cold(&mut self, rate: f64, time: Duration, word: Duration) {
+        self.cold = Some(ColdSpan { rate, until: self.now + time, word });
+        for vm in 0..self.vms.len() {
+            self.tell_cold(vm);
+        }
+    }
+
     fn hurry(&mut self, vm: usize) {
         let delay = URGENT_REPORT_DELAY + MEMBER_REPORT_DELAY * self.vms[vm].members;
         let due = self.now + delay;
@@ -554,6 +597,9 @@
     /// Sends a request, lets it wait for a permit, or sends it elsewhere.
     fn start(&mut self, vm: usize, number: Number) {
         let (now, endpoint) = (self.now, instance(number));
+        if self.cold.is_some() && !self.vms[vm].named.contains_key(&number) {
+            return;
+        }
         self.vms[vm].limits.refresh(now);
         if self.vms[vm].limits.rate(&endpoint).is_none() {
             self.send(vm, number, None);
@@ -601,10 +647,15 @@
 
     /// Returns the most arrivals at one endpoint in a span from a time on.
     fn most_in_span(&self, from: Duration) -> usize {
+        self.most_within(from, SPAN)
+    }
+
+    /// Returns the most arrivals at one endpoint in any `span` from a time on.
+    fn most_within(&self, from: Duration, span: Duration) -> usize {
         let most = |number: Number| {
             let arrivals = self.arrivals_at(number, from);
             let in_span = |(index, start): (usize, &Duration)| {
-                arrivals[index..].iter().take_while(|at| **at < *start + SPAN).count()
+                arrivals[index..].iter().take_while(|at| **at < *start + span).count()
             };
             arrivals.iter().enumerate().map(in_span).max().unwrap_or(0)
         };
@@ -832,3 +883,102 @@
     middle_fleet_uses_limits_that_are_small_for_its_relays: 79, 40, 0.5;
     large_fleet_uses_limits_that_are_small_for_its_relays: 295, 100, 0.5;
 }
+
+/// How long a cold endpoint is watched.
+const COLD_TIME: Duration = Duration::from_secs(8);
+/// How long after the start of a cold endpoint its use counts.
+const COLD_START: Duration = Duration::from_secs(1);
+/// The span in which arrivals at a cold endpoint are counted.
+const COLD_SPAN: Duration = Duration::from_secs(1);
+
+/// Starts a cold endpoint in a fleet; returns how many requests a second it gets while callers ask for more,
+/// and the most in one second. VMs hear of it within `word`.
+fn play_cold(
+    size: usize,
+    rate: f64,
+    demand: f64,
+    has_others: bool,
+    word: Duration,
+    trouble: Trouble,
+    seed: u64,
+) -> (f64, usize) {
+    let mut fleet = Fleet::new(size, demand, has_others, trouble, seed);
+    // Before the start, nothing can be sent.
+    fleet.cold = Some(ColdSpan { rate, until: Duration::ZERO, word });
+    fleet.run(Duration::from_secs(2));
+    fleet.start_cold(rate, COLD_TIME, word);
+    let start = fleet.now;
+    fleet.run(COLD_TIME);
+    let end = fleet.now;
+    let from = start + COLD_START;
+    let used = fleet.arrivals_at(0, from).len() as f64 / (end - from).as_secs_f64();
+    (used, fleet.most_within(start, COLD_SPAN))
+}
+
+/// Returns the most requests that a cold endpoint may get in one second.
+fn cold_bound(rate: f64) -> f64 {
+    rate * 1.5 + FREE_REQUESTS
+}
+
+fn check_cold(size: usize, rate: f64, has_others: bool, word: u64) {
+    let trouble = Trouble { delay: Duration::from_millis(3), ..Trouble::default() };
+    let word = Duration::from_millis(word);
+    let demand = rate * 3.0 + 10.0;
+    let (used, most) = play_cold(size, rate, demand, has_others, word, trouble, 13);
+    println!("{size} VMs, {rate} a second, others {has_others}, word {word:?}: {used:.2}, {most}");
+    assert!(most as f64 <= cold_bound(rate), "{most} in a second, {} allowed", cold_bound(rate));
+    assert!(used >= rate * MIN_USE, "{used} a second of {rate}");
+}
+
+macro_rules! cold_cases {
+    ($($name:ident: $size:expr, $rate:expr, $others:expr, $word:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            check_cold($size, $rate, $others, $word);
+        })*
+    };
+}
+
+cold_cases! {
+    small_fleet_uses_a_cold_endpoint: 8, 11.0, true, 20;
+    middle_fleet_uses_a_cold_endpoint: 58, 11.0, true, 20;
+    large_fleet_uses_a_cold_endpoint: 295, 11.0, true, 20;
+    small_fleet_uses_a_cold_endpoint_without_another: 8, 11.0, false, 20;
+    middle_fleet_uses_a_cold_endpoint_without_another: 58, 11.0, false, 20;
+    large_fleet_uses_a_cold_endpoint_without_another: 295, 11.0, false, 20;
+    small_fleet_uses_a_slow_cold_endpoint: 8, 3.0, true, 20;
+    middle_fleet_uses_a_slow_cold_endpoint: 58, 3.0, true, 20;
+    large_fleet_uses_a_slow_cold_endpoint: 295, 3.0, true, 20;
+    middle_fleet_uses_a_cold_endpoint_after_late_word: 58, 11.0, true, 800;
+    large_fleet_uses_a_cold_endpoint_after_late_word: 295, 11.0, true, 800;
+    middle_fleet_uses_a_fast_cold_endpoint: 58, 40.0, true, 20;
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_more_than_a_cold_endpoint_takes_arrives_in_trouble(
+        size in prop::sample::select(vec![1usize, 3, 8, 12, 30, 58]),
+        rate in prop::sample::select(vec![40.0, 11.0, 3.0, 1.0]),
+        has_others: bool,
+        loss in 0u32..30,
+        delay in 3u64..300,
+        word in 1u64..2_000,
+        lost_at in prop::option::of((1u64..8, any::<bool>())),
+        cut in prop::option::of((1u64..8, 1u64..8)),
+        restarts in prop::option::of(300u64..3_000),
+        seed: u64,
+    ) {
+        let trouble = Trouble {
+            loss,
+            delay: Duration::from_millis(delay),
+            leader_lost: lost_at.filter(|_| size > 1).map(|(at, lives)| (Duration::from_secs(at), lives)),
+            cut: cut.map(|(at, time)| (Duration::from_secs(at), Duration::from_secs(time))),
+            restarts: restarts.map(Duration::from_millis),
+        };
+        let word = Duration::from_millis(word);
+        let (_, most) = play_cold(size, rate, rate * 3.0 + 10.0, has_others, word, trouble, seed);
+        prop_assert!(most as f64 <= cold_bound(rate), "{most} in a second, {} allowed", cold_bound(rate));
+    }
+}
--- a/crates/entry/src/edge/mod.rs
+++ b/crates/entry/src/edge/mod.rs
@@ -222,6 +222,8 @@
     pub report: EndpointReport,
     /// The time until the endpoint is gone, if that is known.
     pub remaining: Option<Duration>,
+    /// How much longer the endpoint is cold.
+    pub cold: Duration,
 }
 
 /// An order as it is sent to an endpoint.
--- a/crates/entry/src/process/active_fleet.rs
+++ b/crates/entry/src/process/active_fleet.rs
@@ -12,6 +12,7 @@
 
 use crate::edge::{Protocol, StoreRow};
 use crate::process::quotas::Quotas;
+use crate::process::scheduler::Scheduler;
 
 /// The key of the config row among the rows that VMs send each other.
 const CONFIG_KEY: &str = "config";
@@ -20,6 +21,7 @@
 pub(crate) struct ActiveFleet {
     protocol: Arc<dyn Protocol>,
     quotas: Arc<Quotas>,
+    scheduler: Arc<Scheduler>,
     fleet: watch::Sender<Option<Arc<FleetConfig>>>,
     row: Mutex<Option<ConfigRow>>,
     /// The config row as other VMs get it, with its version; made when a VM first needs it.
@@ -38,10 +40,15 @@
 const MAX_ROW_BYTES: u64 = 8 << 20;
 
 impl ActiveFleet {
-    pub(crate) fn new(protocol: Arc<dyn Protocol>, quotas: Arc<Quotas>) -> Self {
+    pub(crate) fn new(
+        protocol: Arc<dyn Protocol>,
+        quotas: Arc<Quotas>,
+        scheduler: Arc<Scheduler>,
+    ) -> Self {
         Self {
             protocol,
             quotas,
+            scheduler,
             fleet: watch::Sender::new(None),
             row: Mutex::default(),
             packed: Mutex::default(),
@@ -149,6 +156,7 @@
             routes = fleet.hosts.values().map(Vec::len).sum::<usize>(),
             workspaces = fleet.workspaces.len(); "a configuration is in force");
         self.quotas.apply_config(&fleet);
+        self.scheduler.apply_config(&fleet);
         self.fleet.send_replace(Some(Arc::new(fleet)));
         true
     }
--- a/crates/entry/src/process/coordinator/placement.rs
+++ b/crates/entry/src/process/coordinator/placement.rs
@@ -269,7 +269,8 @@
                     if let Some(limit) = scheduler.order_limit(name, listed.info.instance) {
                         view.idle &= limit.has_room;
                         let slots = f64::from(listed.info.slots);
-                        view.limited = limit.rate < slots * LOW_LIMIT_PER_SLOT;
+                        view.limited =
+                            limit.named.is_some_and(|rate| rate < slots * LOW_LIMIT_PER_SLOT);
                     }
                     (availability != Availability::Leaving).then_some(view)
                 })
--- a/crates/entry/src/process/endpoint_list.rs
+++ b/crates/entry/src/process/endpoint_list.rs
@@ -382,11 +382,14 @@
                 let changed = known.is_none_or(|known| {
                     known.info.ready != listed.info.ready
                         || known.info.instance != listed.info.instance
+                        // It has turned cold again. Otherwise the time left falls.
+                        || known.cold < listed.cold
                 });
                 if changed {
                     info!(endpoint = name.as_str(), service = listed.info.service.as_str(),
                         domain = listed.info.domain.as_str(), ready = listed.info.ready,
                         born = listed.info.instance, row:% = row.version,
+                        cold_ms = listed.cold.as_millis() as u64,
                         left_ms = listed.remaining.map(|left| left.as_millis() as u64).unwrap_or(0);
                         "an endpoint is listed");
                 }
--- a/crates/entry/src/process/metrics.rs
+++ b/crates/entry/src/process/metrics.rs
@@ -65,6 +65,7 @@
     leaving: Gauge<u64>,
     quiet: Gauge<u64>,
     limited: Gauge<u64>,
+    cold: Gauge<u64>,
     pub(crate) limited_answers: Counter<u64>,
     permits: Counter<u64>,
     closed_unread: Counter<u64>,
@@ -108,6 +109,7 @@
             ),
             leaving: gauge(&meter, "leaving", "endpoints known to leave by their answers"),
             quiet: gauge(&meter, "quiet", "endpoints that want nothing from this VM for now"),
+            cold: gauge(&meter, "cold", "cold endpoints, which take few requests"),
             limited: gauge(&meter, "limited", "endpoints with a limit of requests in force"),
             permits: counter(
                 &meter,
@@ -195,6 +197,11 @@
         self.quiet.record(quiet as u64, &[]);
     }
 
+    /// Records how many endpoints are cold.
+    pub(crate) fn record_cold(&self, cold: usize) {
+        self.cold.record(cold as u64, &[]);
+    }
+
     /// Records the time until a response's first byte.
     pub(crate) fn record_first_byte(&self, time: Duration) {
         self.first_byte.record(time.as_secs_f64(), &[]);
--- a/crates/entry/src/process/scheduler.rs
+++ b/crates/entry/src/process/scheduler.rs
@@ -208,13 +208,19 @@
         let mut state = self.state();
         let restarted = state.dispatcher.instance(name) != Some(listed.info.instance);
         state.dispatcher.upsert(name, listed.info.clone());
+        let cold = state.dispatcher.on_cold(name, listed.cold, now);
         state.addresses.insert(name.clone(), listed.address);
         let overridden =
             state.leader_state.contains(name) && now < state.leader_heard + LEADER_STATE_TIMEOUT;
         if restarted || !overridden {
             state.dispatcher.set_resident(name, listed.report.resident.clone());
         }
+        let rate = state.dispatcher.limit(name, listed.info.instance);
         drop(state);
+        if let Some(change) = cold {
+            info!(endpoint = name.as_str(), born = listed.info.instance, change:?, rate,
+                left_ms = listed.cold.as_millis() as u64; "an endpoint is cold, or no longer");
+        }
         self.dispatch_waiting();
     }
 
@@ -294,6 +300,9 @@
         let state = self.state();
         let (leaving, quiet) = state.dispatcher.unavailable(boot_now());
         self.metrics.record_availability(leaving, quiet, state.dispatcher.limited());
+        let cold = state.dispatcher.cold();
+        drop(state);
+        self.metrics.record_cold(cold);
     }
 
     /// Returns why no slot is free for a request, or `None` if one is.
--- a/crates/entry/src/process/scheduler/limits.rs
+++ b/crates/entry/src/process/scheduler/limits.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    Availability, EndpointId, EndpointInstance, IssuedPermits, LimitChange, LimitNumber,
-    LimitStatement, NamedLimit, PermitRole, RaiseEvidence, Rate, Requirements, VmId, Want,
+    Availability, EndpointId, EndpointInstance, FleetConfig, IssuedPermits, LimitChange,
+    LimitNumber, LimitStatement, NamedLimit, PermitRole, RaiseEvidence, Rate, Requirements, VmId,
+    Want,
 };
 use log::info;
 
@@ -21,8 +22,9 @@
 /// The limit that an endpoint names, as it concerns the leader's orders.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct OrderLimit {
-    /// The requests per second.
-    pub(crate) rate: Rate,
+    /// The requests per second that the endpoint names; a cold endpoint that names none takes all it can
+    /// hold soon.
+    pub(crate) named: Option<Rate>,
     /// Whether one more order may be sent now.
     pub(crate) has_room: bool,
 }
@@ -31,10 +33,12 @@
     /// Returns the limit of an instance in force for the leader's orders to it.
     pub(crate) fn order_limit(&self, name: &EndpointId, instance: u64) -> Option<OrderLimit> {
         let mut state = self.state();
-        let rate = state.dispatcher.limit(name, instance)?;
+        state.dispatcher.limit(name, instance)?;
         let key = (name.clone(), instance);
-        let has_room = state.dispatcher.limits().has_room_ahead(&key, boot_now());
-        Some(OrderLimit { rate, has_room })
+        let limits = state.dispatcher.limits();
+        let named = limits.named_rate(&key);
+        let has_room = limits.has_room_ahead(&key, boot_now());
+        Some(OrderLimit { named, has_room })
     }
 
     /// Records what the head of an instance's answer says about the requests that it takes.
@@ -108,6 +112,13 @@
         names.join(", ")
     }
 
+    /// Sets how many requests a second cold endpoints take.
+    pub(crate) fn apply_config(&self, fleet: &FleetConfig) {
+        let rates = fleet.services.iter();
+        let rates = rates.filter_map(|(name, service)| Some((name.clone(), service.cold_rate?)));
+        self.state().dispatcher.limits().set_cold_rates(rates.collect());
+    }
+
     /// Sets what this VM is for the permits of others.
     pub(crate) fn set_permit_role(&self, role: PermitRole) {
         let now = boot_now();
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -85,7 +85,8 @@
             roster.clone(),
             relay_requests,
         ));
-        let active_fleet = Arc::new(ActiveFleet::new(protocol.clone(), quotas.clone()));
+        let active_fleet =
+            Arc::new(ActiveFleet::new(protocol.clone(), quotas.clone(), scheduler.clone()));
         let delay = settings.bounds.removal_delay;
         let endpoint_list =
             Arc::new(EndpointList::new(protocol.clone(), scheduler.clone(), events.clone(), delay));
