The bound of requests at a cold endpoint comes from the settings

It was a constant equal to the bounds of the one deployment that sets them (cold_excess, cold_slack); another one would have been held to the wrong bound. Without the settings the same values hold.

--- a/crates/decide/src/process/request_limits/account.rs
+++ b/crates/decide/src/process/request_limits/account.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::cold;
+use super::cold::{self, ColdBound};
 use super::log::Rate;
 use crate::ids::VmId;
 use crate::map::FastMap;
@@ -157,8 +157,8 @@
     pub(super) bucket: Option<Bucket>,
     /// For the leader's orders and requests for reports.
     pub(super) own: Option<Bucket>,
-    /// Whether the endpoint is cold: then what reaches it is counted by the second.
-    pub(super) is_cold: bool,
+    /// The bound while the endpoint is cold: then what reaches it is counted by the second.
+    pub(super) cold: Option<ColdBound>,
 }
 
 impl Account {
@@ -201,7 +201,7 @@
     /// Returns how many permits may be open at once.
     fn max_open(&self, rate: Rate) -> u32 {
         let most = max_open(rate);
-        if self.is_cold { most.min(cold::max_open(rate, burst(rate))) } else { most }
+        self.cold.map_or(most, |bound| most.min(cold::max_open(rate, burst(rate), bound)))
     }
 
     /// Begins to issue permits at once, as nobody has issued any.
@@ -286,7 +286,7 @@
     }
 
     pub(super) fn bucket(&mut self, rate: Rate, now: Duration) -> &mut Bucket {
-        let is_cold = self.is_cold;
+        let is_cold = self.cold.is_some();
         self.bucket.get_or_insert_with(|| match is_cold {
             // Within a second, relays may still get permits of the former issuer.
             true => Bucket { tokens: -rate * TAKEOVER_TIME.as_secs_f64(), filled: now },
--- a/crates/decide/src/process/request_limits/cold.rs
+++ b/crates/decide/src/process/request_limits/cold.rs
@@ -11,8 +11,21 @@
 use crate::map::FastMap;
 use crate::request::availability::EndpointInstance;
 
-/// How many times its rate a cold endpoint takes in a second, and how many requests beyond that.
-const BOUND: (f64, f64) = (1.5, 5.0);
+/// How many requests a cold endpoint may get in a second.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdBound {
+    /// How many times its rate.
+    pub excess: f64,
+    /// How many beyond that.
+    pub slack: f64,
+}
+
+impl Default for ColdBound {
+    /// The bound of deployments that do not set one.
+    fn default() -> Self {
+        Self { excess: 1.5, slack: 5.0 }
+    }
+}
 
 /// A change at a cold endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,9 +48,18 @@
     spans: FastMap<EndpointInstance, Span>,
     /// The requests a second that a cold endpoint of a service takes.
     rates: FastMap<ServiceId, Rate>,
+    bound: ColdBound,
 }
 
 impl ColdLog {
+    pub(super) fn set_bound(&mut self, bound: ColdBound) {
+        self.bound = bound;
+    }
+
+    pub(super) fn bound(&self) -> ColdBound {
+        self.bound
+    }
+
     pub(super) fn set_rates(&mut self, rates: FastMap<ServiceId, Rate>) {
         self.rates = rates;
     }
@@ -86,7 +108,6 @@
 
 /// Returns how many permits for a cold endpoint may be open at once, with `burst` more that may be issued
 /// when some are used: all of them may be used within one second, beside those that fall due in it.
-pub(super) fn max_open(rate: Rate, burst: f64) -> u32 {
-    let (factor, extra) = BOUND;
-    (rate * (factor - 1.0) + extra - burst).max(1.0) as u32
+pub(super) fn max_open(rate: Rate, burst: f64, bound: ColdBound) -> u32 {
+    (rate * (bound.excess - 1.0) + bound.slack - burst).max(1.0) as u32
 }
--- a/crates/decide/src/process/request_limits/permits.rs
+++ b/crates/decide/src/process/request_limits/permits.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use super::account::{Account, Bucket, MAX_WANTED, Permit, RelayPart, Want, issue_rate, recent};
-use super::cold::{ColdChange, ColdLog};
+use super::cold::{ColdBound, ColdChange, ColdLog};
 use super::log::{
     LimitChange, LimitLog, LimitNumber, LimitStatement, NamedLimit, RaiseEvidence, Rate,
 };
@@ -136,7 +136,7 @@
         let mut has_permits = false;
         for (instance, rate) in limited(&self.log, &self.cold) {
             let account = self.accounts.entry(instance.clone()).or_default();
-            account.is_cold = self.cold.rate(instance).is_some();
+            account.cold = self.cold.rate(instance).map(|_| self.cold.bound());
             if let PermitRole::Relay(part) = self.role
                 && is_alone
             {
@@ -172,6 +172,11 @@
         self.cold.limited()
     }
 
+    /// Sets how many requests a cold endpoint may get in a second.
+    pub fn set_cold_bound(&mut self, bound: ColdBound) {
+        self.cold.set_bound(bound);
+    }
+
     /// Sets how many requests a second a cold endpoint of each service takes; services that are never cold
     /// are left out.
     pub fn set_cold_rates(&mut self, rates: FastMap<ServiceId, Rate>) {
@@ -204,7 +209,7 @@
         let change = self.cold.on_listed(instance, service, left, now);
         if self.cold.rate(instance).is_some() {
             let account = self.accounts.entry(instance.clone()).or_default();
-            account.is_cold = true;
+            account.cold = Some(self.cold.bound());
             if matches!(self.role, PermitRole::Leader(_)) && !was_limited {
                 account.begin(now);
             }
--- a/crates/entry/src/process/scheduler/limits.rs
+++ b/crates/entry/src/process/scheduler/limits.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    Availability, EndpointId, EndpointInstance, FleetConfig, IssuedPermits, LimitChange,
+    Availability, ColdBound, EndpointId, EndpointInstance, FleetConfig, IssuedPermits, LimitChange,
     LimitNumber, LimitStatement, NamedLimit, PermitRole, RaiseEvidence, Rate, Requirements, VmId,
     Want,
 };
@@ -112,6 +112,11 @@
         names.join(", ")
     }
 
+    /// Sets how many requests cold endpoints may get in a second, at all rates.
+    pub(crate) fn set_cold_bound(&self, bound: ColdBound) {
+        self.state().dispatcher.limits().set_cold_bound(bound);
+    }
+
     /// Sets how many requests a second cold endpoints take.
     pub(crate) fn apply_config(&self, fleet: &FleetConfig) {
         let rates = fleet.services.iter();
--- a/crates/entry/src/process/settings.rs
+++ b/crates/entry/src/process/settings.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use bamboocourse_decide::{DomainId, FeedTimes, RetryLimit, VmId};
+use bamboocourse_decide::{ColdBound, DomainId, FeedTimes, RetryLimit, VmId};
 
 /// The settings of one entry VM on a platform.
 #[derive(Debug, Clone, PartialEq)]
@@ -51,6 +51,8 @@
     pub quota_slack: u64,
     /// How many retries may be sent to a service.
     pub retries: RetryLimit,
+    /// How many requests a cold endpoint may get in a second.
+    pub cold: ColdBound,
     /// The sliding window over which loads from the weight store are counted.
     pub load_window: Duration,
     /// The factor by which the weight store's rate of loads may be exceeded; 1.1 allows 10 % more.
--- a/crates/entry/src/process/vm.rs
+++ b/crates/entry/src/process/vm.rs
@@ -77,6 +77,7 @@
         metrics.observe_ages(freshness.clone());
         let (events, event_receiver) = mpsc::unbounded_channel();
         let scheduler = Arc::new(Scheduler::new(settings.domain.clone(), metrics.clone()));
+        scheduler.set_cold_bound(settings.bounds.cold);
         let crashes = Arc::new(Crashes::new(scheduler.clone(), metrics.clone()));
         let roster = Arc::new(RosterView::new(settings.clone()));
         let (relay_requests, relay_receiver) = mpsc::unbounded_channel();
