--- a/crates/cli/tests/entry_signals.rs
+++ b/crates/cli/tests/entry_signals.rs
@@ -324,3 +324,33 @@
     assert!(response.complete && [200, 503].contains(&response.status), "{}", vm.log());
     assert!(vm.wait().await.success());
 }
+
+/// The deadline of a request that reaches a stalled VM, and for how long that stalls.
+const SHORT_DEADLINE: Duration = Duration::from_secs(4);
+const SHORT_STALL: Duration = Duration::from_secs(3);
+/// How long after its deadline a caller has its final answer at the latest.
+const ANSWER_MARGIN: Duration = Duration::from_millis(500);
+
+// The deadline counts from when the VM has read the head.
+#[tokio::test]
+async fn deadline_counts_from_when_the_request_was_sent() {
+    let vm = Vm::serving().await;
+    for server in &vm.servers {
+        server.set_faults(|faults| faults.hang = true);
+    }
+    let mut caller = Caller::connect(vm.address()).await.expect("the VM listens");
+    vm.signal(Signal::STOP);
+    let sent = Instant::now();
+    let deadline = format!("Deadline-Ms: {}", SHORT_DEADLINE.as_millis());
+    let text = head("d1", 50).replace("Deadline-Ms: 30000", &deadline) + "body";
+    caller.write(text.as_bytes()).await.expect("the request is sent");
+    tokio::time::sleep(SHORT_STALL).await;
+    vm.signal(Signal::CONT);
+    let response = caller.receive().await.expect("a response arrives");
+    assert!(
+        sent.elapsed() < SHORT_DEADLINE + ANSWER_MARGIN,
+        "{} after {:?}",
+        response.status,
+        sent.elapsed()
+    );
+}
