An idle connection is closed at once by a leaving VM

Since a request that crossed the close of an idle connection was read for up to a second and thrown away; a caller may take that for a request that ran, and may not repeat one that must run once. Now the VM reads on only if the caller may lack a part of a response: one that asked it to close, or one that ended within the last second.

--- a/crates/entry/src/connection/callers.rs
+++ b/crates/entry/src/connection/callers.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
 use futures_util::FutureExt;
@@ -60,6 +60,10 @@
     /// Whether it has a response whose head did not ask the caller to close it. Such a caller may have
     /// sent its next request by the end of the response.
     kept: AtomicBool,
+    /// Whether a response has asked the caller to close it.
+    closes: AtomicBool,
+    /// When the last response that did not ask so ended.
+    ended: Mutex<Option<Instant>>,
     changed: Notify,
     last: LastRequest,
 }
@@ -72,6 +76,19 @@
         KeptGuard(self.clone())
     }
 
+    /// Records that a response asks the caller to close the connection.
+    fn ask_close(&self) {
+        self.0.closes.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the caller may not have received all of the last response yet.
+    fn may_lack_response(&self) -> bool {
+        let ended = *self.0.ended.lock().unwrap_or_else(PoisonError::into_inner);
+        self.0.closes.load(Ordering::Relaxed)
+            || self.0.kept.load(Ordering::Relaxed)
+            || ended.is_some_and(|ended| ended.elapsed() < drain::LINGER_TIME)
+    }
+
     fn is_used(&self) -> bool {
         self.0.used.load(Ordering::Relaxed)
     }
@@ -89,7 +106,8 @@
 
 impl Drop for KeptGuard {
     fn drop(&mut self) {
-        let StateInner { kept, changed, .. } = &*self.0.0;
+        let StateInner { kept, changed, ended, .. } = &*self.0.0;
+        *ended.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
         kept.store(false, Ordering::Relaxed);
         changed.notify_one();
     }
@@ -160,7 +178,7 @@
             }
         };
         let parts = connection.into_parts();
-        let closed = drain::close(parts.io.into_inner()).await;
+        let closed = drain::close(parts.io.into_inner(), state.may_lack_response()).await;
         self.log_close(&state, ended.err(), parts.read_buf.len(), closed);
         drop(open);
     }
@@ -208,6 +226,7 @@
     let guard = state.begin();
     let mut response = pipeline.handle(request, &state.0.last).await;
     if shutdown.phase() != Phase::Serving {
+        state.ask_close();
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         return Ok(response);
     }
--- a/crates/entry/src/process/drain.rs
+++ b/crates/entry/src/process/drain.rs
@@ -5,7 +5,8 @@
 //! 2. [`Phase::Closing`]: no connections are accepted, and idle ones are closed.
 //! 3. [`close`]: a connection is closed in two steps, so that its caller receives all of its last response.
 //!    The VM ends its own side once everything has been written, and reads until the caller ends the
-//!    other. The connection counts as open until then.
+//!    other. The connection counts as open until then. One that has been idle is closed at once, so that a
+//!    request on its way counts as unread.
 //! 4. [`Phase::Answering`], then [`Phase::Ending`]: shortly before the grace period ends, requests without a
 //!    response get their final one, and streams that still run break off.
 //! 5. [`Drain::run`] returns when no request and no connection is open, and the process may end.
@@ -34,10 +35,12 @@
 const FINAL_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// How long a caller may take to close a connection whose last response has been handed to the kernel;
 /// several round trips.
-const LINGER_TIME: Duration = Duration::from_secs(1);
+pub(crate) const LINGER_TIME: Duration = Duration::from_secs(1);
 /// How long the kernel goes on trying to deliver the rest of a response to a caller that pauses, also
 /// after the process has ended.
 const DELIVERY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How much of what has arrived on an idle connection is looked at, in bytes.
+const PEEK_BYTES: usize = 64;
 /// The size of the buffer for bytes that are discarded, in bytes.
 const DISCARD_BYTES: usize = 4 << 10;
 
@@ -119,16 +122,21 @@
     pub(crate) discarded: usize,
 }
 
-/// Closes a connection whose responses have all been written to the kernel.
+/// Closes a connection whose responses have all been written to the kernel; `lingers` tells whether the
+/// caller may not have received all of them.
 ///
 /// Closing it with bytes unread, or before bytes that are on their way have arrived, would reset it, and
 /// a reset discards what the caller has not received yet.
-pub(crate) async fn close(mut stream: TcpStream) -> Closed {
+pub(crate) async fn close(mut stream: TcpStream, lingers: bool) -> Closed {
     // Both fail if the caller has reset the connection, which the reading below shows. The HTTP library has
     // not ended its side if the connection failed.
     let _ = stream.shutdown().await;
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(DELIVERY_TIMEOUT));
     let mut closed = Closed { by_caller: false, discarded: 0 };
+    if !lingers {
+        closed.discarded = stream.try_read(&mut [0; PEEK_BYTES]).unwrap_or(0);
+        return closed;
+    }
     let mut buffer = [0; DISCARD_BYTES];
     let reading = async {
         while let Ok(count @ 1..) = stream.read(&mut buffer).await {
