--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -77,7 +77,7 @@
     OrderReply, ResidentModels,
 };
 pub use process::request_limits::account::{Permit, RelayPart, Want};
-pub use process::request_limits::cold::ColdChange;
+pub use process::request_limits::cold::{ColdChange, ColdEnd};
 pub use process::request_limits::log::{
     LimitChange, LimitLog, LimitNumber, LimitStatement, NamedLimit, RaiseEvidence, Rate,
 };
--- a/crates/decide/src/process/request_limits/cold.rs
+++ b/crates/decide/src/process/request_limits/cold.rs
@@ -23,10 +23,21 @@
     Ended,
 }
 
+/// What this VM sent to an endpoint while it was cold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ColdEnd {
+    /// The instance.
+    pub instance: EndpointInstance,
+    /// The requests.
+    pub sent: u32,
+}
+
 #[derive(Debug, Clone)]
 struct Span {
     service: ServiceId,
     until: Duration,
+    /// The requests that this VM has sent by permits.
+    sent: u32,
 }
 
 /// The cold endpoints.
@@ -35,6 +46,8 @@
     spans: FastMap<EndpointInstance, Span>,
     /// The requests a second that a cold endpoint of a service takes.
     rates: FastMap<ServiceId, Rate>,
+    /// The spans that have ended since they were last taken.
+    ended: Vec<ColdEnd>,
 }
 
 impl ColdLog {
@@ -51,13 +64,30 @@
         now: Duration,
     ) -> Option<ColdChange> {
         if left.is_zero() {
-            let ended = self.spans.remove(instance)?;
-            return (now < ended.until).then_some(ColdChange::Ended);
+            let Span { until, sent, .. } = self.spans.remove(instance)?;
+            self.ended.push(ColdEnd { instance: instance.clone(), sent });
+            return (now < until).then_some(ColdChange::Ended);
         }
-        let span = Span { service: service.clone(), until: now.saturating_add(left) };
-        let until = span.until;
-        let former = self.spans.insert(instance.clone(), span);
-        former.is_none_or(|former| former.until < until).then_some(ColdChange::Began)
+        let until = now.saturating_add(left);
+        let Some(span) = self.spans.get_mut(instance) else {
+            let span = Span { service: service.clone(), until, sent: 0 };
+            self.spans.insert(instance.clone(), span);
+            return Some(ColdChange::Began);
+        };
+        let former = std::mem::replace(&mut span.until, until);
+        (former < until).then_some(ColdChange::Began)
+    }
+
+    /// Counts a request that was sent to an instance.
+    pub(super) fn on_sent(&mut self, instance: &EndpointInstance) {
+        if let Some(span) = self.spans.get_mut(instance) {
+            span.sent += 1;
+        }
+    }
+
+    /// Takes the spans that have ended.
+    pub(super) fn take_ended(&mut self) -> Vec<ColdEnd> {
+        std::mem::take(&mut self.ended)
     }
 
     pub(super) fn rate(&self, instance: &EndpointInstance) -> Option<Rate> {
@@ -75,7 +105,14 @@
 
     /// Forgets the spans that are over.
     pub(super) fn expire(&mut self, now: Duration) {
-        self.spans.retain(|_, span| now < span.until);
+        let ended = &mut self.ended;
+        self.spans.retain(|instance, span| {
+            let is_over = now >= span.until;
+            if is_over {
+                ended.push(ColdEnd { instance: instance.clone(), sent: span.sent });
+            }
+            !is_over
+        });
     }
 
     /// Forgets the spans of instances that are gone.
--- a/crates/decide/src/process/request_limits/permits.rs
+++ b/crates/decide/src/process/request_limits/permits.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use super::account::{Account, Bucket, MAX_WANTED, Permit, RelayPart, Want, issue_rate, recent};
-use super::cold::{ColdChange, ColdLog};
+use super::cold::{ColdChange, ColdEnd, ColdLog};
 use super::log::{
     LimitChange, LimitLog, LimitNumber, LimitStatement, NamedLimit, RaiseEvidence, Rate,
 };
@@ -172,6 +172,11 @@
         self.cold.limited()
     }
 
+    /// Takes the cold spans that have ended, with what this VM sent in them.
+    pub fn take_cold_ends(&mut self) -> Vec<ColdEnd> {
+        self.cold.take_ended()
+    }
+
     /// Sets how many requests a second a cold endpoint of each service takes; services that are never cold
     /// are left out.
     pub fn set_cold_rates(&mut self, rates: FastMap<ServiceId, Rate>) {
@@ -220,6 +225,7 @@
     /// Records that a request was sent by a permit.
     pub fn on_used(&mut self, instance: &EndpointInstance) {
         self.accounts.entry(instance.clone()).or_default().used += 1;
+        self.cold.on_sent(instance);
     }
 
     /// Records an answer, as [`LimitLog::on_answer`] does.
--- a/crates/entry/src/process/scheduler.rs
+++ b/crates/entry/src/process/scheduler.rs
@@ -219,7 +219,7 @@
         drop(state);
         if let Some(change) = cold {
             info!(endpoint = name.as_str(), born = listed.info.instance, change:?, rate,
-                left_ms = listed.cold.as_millis() as u64; "an endpoint is cold, or no longer");
+                left_ms = listed.cold.as_millis() as u64; "the time for which an endpoint is cold has changed");
         }
         self.dispatch_waiting();
     }
--- a/crates/entry/src/process/scheduler/limits.rs
+++ b/crates/entry/src/process/scheduler/limits.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    Availability, EndpointId, EndpointInstance, FleetConfig, IssuedPermits, LimitChange,
+    Availability, ColdEnd, EndpointId, EndpointInstance, FleetConfig, IssuedPermits, LimitChange,
     LimitNumber, LimitStatement, NamedLimit, PermitRole, RaiseEvidence, Rate, Requirements, VmId,
     Want,
 };
@@ -263,7 +263,13 @@
 
     /// Forgets what is no longer needed of limits.
     pub(crate) fn prune_limits(&self) {
-        self.state().dispatcher.prune_limits(boot_now());
+        let mut state = self.state();
+        state.dispatcher.prune_limits(boot_now());
+        let ended = state.dispatcher.limits().take_cold_ends();
+        drop(state);
+        for ColdEnd { instance: (name, born), sent } in ended {
+            info!(endpoint = name.as_str(), born, sent; "an endpoint is no longer cold");
+        }
     }
 }
 
