--- a/crates/cli/tests/entry_signals.rs
+++ b/crates/cli/tests/entry_signals.rs
@@ -1,4 +1,4 @@
-//! Signals to an `entry` process: before it serves, and while the machine gives it no time to run.
+//! Signals to an `entry` process: before it serves, and while it is stopped.
 
 use std::io::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -10,7 +10,7 @@
 
 use bamboocourse_emulator::{
     Caller, ClusterSpec, Response, RouteSpec, Server, ServerSpec, Store, VmSettings, config_json,
-    free_ports,
+    free_ports, stream_head,
 };
 use rustix::fs::{CWD, FileType, Mode, mknodat};
 use rustix::process::{Pid, Signal, kill_process};
@@ -134,9 +134,7 @@
     /// Returns how often a request reached an endpoint.
     fn arrivals(&self, id: &str) -> usize {
         let requests = self.servers.iter().flat_map(|server| server.requests());
-        let ids = requests
-            .filter_map(|request| request.headers.get("x-bamboocourse-request-id").cloned());
-        ids.filter(|own| own == id).count()
+        requests.filter(|request| request.id() == Some(id)).count()
     }
 
     fn signal(&self, signal: Signal) {
@@ -169,15 +167,12 @@
     }
 }
 
+/// A deadline after the end of the grace period.
+const LONG_DEADLINE: Duration = Duration::from_secs(30);
+
 /// Returns the head of a request for a stream, with a body of four bytes.
 fn head(id: &str, tokens: u64) -> String {
-    format!(
-        "POST /stream/x HTTP/1.1\r\nHost: host.example\r\nContent-Length: 4\r\n\
-         X-Bamboocourse-Request-Id: {id}\r\nX-Bamboocourse-Deadline-Ms: 30000\r\n\
-         Authorization: Bearer key-desk\r\nX-Bamboocourse-Model: m1\r\n\
-         X-Bamboocourse-Token-Usage: 100,{tokens}\r\n\
-         X-Bamboocourse-Prompt-Prefix: 5c1e07a2:60,{id}:40\r\n\r\n"
-    )
+    stream_head(id, tokens, LONG_DEADLINE)
 }
 
 /// Defines a test of a signal that comes while the process reads its settings.
@@ -211,7 +206,7 @@
     assert!(status.success(), "{status}, signal {:?}", status.signal());
 });
 
-/// For how long the machine gives the process no time to run.
+/// For how long the process is stopped.
 const PAUSE: Duration = Duration::from_secs(3);
 /// When the body of a stream ends, from SIGTERM on: a stream of 4 s would end after the grace period.
 const LATE_BODY: Duration = Duration::from_millis(4_500);
@@ -341,8 +336,7 @@
     let mut caller = Caller::connect(vm.address()).await.expect("the VM listens");
     vm.signal(Signal::STOP);
     let sent = Instant::now();
-    let deadline = format!("Deadline-Ms: {}", SHORT_DEADLINE.as_millis());
-    let text = head("d1", 50).replace("Deadline-Ms: 30000", &deadline) + "body";
+    let text = stream_head("d1", 50, SHORT_DEADLINE) + "body";
     caller.write(text.as_bytes()).await.expect("the request is sent");
     tokio::time::sleep(SHORT_STALL).await;
     vm.signal(Signal::CONT);
--- a/crates/decide/src/process/tick_monitor.rs
+++ b/crates/decide/src/process/tick_monitor.rs
@@ -63,7 +63,7 @@
         present.or(just_over.copied()).map_or(now, |pause| pause.from)
     }
 
-    /// Returns how late a tick came at most of late, beyond its interval; a pause that is just over counts
+    /// Returns how late a tick came at most within [`MEMORY`], beyond its interval; a pause that is just over counts
     /// in [`earliest`](Self::earliest) already.
     pub fn worst(&self, now: Duration) -> Duration {
         let is_counted =
--- a/crates/entry/src/process/shutdown.rs
+++ b/crates/entry/src/process/shutdown.rs
@@ -97,7 +97,7 @@
         now.saturating_sub(self.lock().earliest(now))
     }
 
-    /// Returns how late a tick came at most of late.
+    /// Returns how late a tick came at most in the last seconds.
     pub(crate) fn worst(&self) -> Duration {
         self.lock().worst(boot_now())
     }
