--- a/review/harness-2/src/holders.rs
+++ b/review/harness-2/src/holders.rs
@@ -4,7 +4,7 @@
 
 use std::net::IpAddr;
 use std::path::Path;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
@@ -46,7 +46,7 @@
 
 /// Sends short streams to a VM, one after another, each for the next adapter.
 async fn call(front: std::net::SocketAddr, next: Arc<AtomicU64>, counts: Arc<[AtomicU64; 2]>,
-    ends: Arc<AtomicBool>) {
+    seen: Arc<Mutex<Vec<(Instant, String)>>>, ends: Arc<AtomicBool>) {
     while !ends.load(Ordering::Relaxed) {
         let number = next.fetch_add(1, Ordering::Relaxed);
         let id = format!("r{number:08x}");
@@ -55,11 +55,16 @@
         let headers = [("Authorization", "Bearer key-desk"), ("X-Bamboocourse-Request-Id", &id),
             ("X-Bamboocourse-Deadline-Ms", "4000"), ("X-Bamboocourse-Model", &model),
             ("X-Bamboocourse-Token-Usage", "100,8"), ("X-Bamboocourse-Prompt-Prefix", &prefix)];
+        let sent = Instant::now();
         let answer = async {
             let mut caller = Caller::connect(front).await?;
             caller.request("POST /stream/x", &headers, "{}").await
         };
-        let ok = matches!(&answer.await, Ok(answer) if answer.status == 200 && answer.complete);
+        let answer = answer.await;
+        let ok = matches!(&answer, Ok(answer) if answer.status == 200 && answer.complete);
+        let status = answer.map_or(0, |answer| answer.status);
+        let text = format!("{id} for {model} sent to {front}: {status}, complete: {ok}");
+        seen.lock().unwrap_or_else(PoisonError::into_inner).push((sent, text));
         counts[usize::from(!ok)].fetch_add(1, Ordering::Relaxed);
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
@@ -125,10 +130,12 @@
         }
     }
     let (next, counts) = (Arc::new(AtomicU64::new(1)), Arc::new([const { AtomicU64::new(0) }; 2]));
+    let seen = Arc::new(Mutex::new(Vec::new()));
     let ends = Arc::new(AtomicBool::new(false));
     let mut callers = Vec::new();
     for vm in &fleet.vms {
-        callers.push(tokio::spawn(call(vm.front, next.clone(), counts.clone(), ends.clone())));
+        callers.push(tokio::spawn(call(vm.front, next.clone(), counts.clone(), seen.clone(),
+            ends.clone())));
     }
     tokio::time::sleep(Duration::from_secs(5)).await;
     let Some(first) = wait_leader(&store, &fleet, None, Duration::from_secs(5)).await else {
@@ -173,6 +180,9 @@
     }
     record.line(&format!("{} streams were answered, {} were not",
         counts[0].load(Ordering::Relaxed), counts[1].load(Ordering::Relaxed)));
+    for (at, text) in seen.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+        record.event(*at, text);
+    }
     let mut broken = false;
     for server in &servers {
         let mut last: Option<(IpAddr, Instant)> = None;
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -1,8 +1,10 @@
 //! The checks of the second review's scripts: each exits with 1 if the rule was broken, 0 if it held
 //! and 2 if the case could not run.
 
+mod attempts;
 mod fleet;
 mod holders;
+mod slow;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -32,6 +34,8 @@
     let verdict = runtime.block_on(async {
         match case.as_str() {
             "holders" => holders::run(&folder, trouble).await,
+            "slow" => slow::run(&folder, trouble).await,
+            "attempts" => attempts::run(&folder, trouble).await,
             other => Ok(Verdict::NotRun(format!("no case {other}"))),
         }
     });
