--- a/review/harness-2/src/attempts.rs
+++ b/review/harness-2/src/attempts.rs
@@ -152,7 +152,11 @@
     }
     tokio::time::sleep(Duration::from_secs(5)).await;
     for round in 0..ROUNDS {
-        record.line(if trouble { "servers fail requests and break answers off" } else { "no disruption" });
+        record.line(if trouble {
+            "servers fail requests and break answers off"
+        } else {
+            "no disruption"
+        });
         if trouble {
             disturb(servers.clone(), TROUBLE_TIME, round as u64).await;
         } else {
@@ -182,8 +186,10 @@
         let at: BTreeSet<&String> = ran.iter().map(|(_, server)| server).collect();
         whole += usize::from(attempt.complete && attempt.events as u64 == EVENTS);
         let names: Vec<&str> = ran.iter().map(|(_, server)| server.as_str()).collect();
-        let text = format!("{} ran at {:?}; answered {} with {} events, complete: {}",
-            attempt.id, names, attempt.status, attempt.events, attempt.complete);
+        let text = format!(
+            "{} ran at {:?}; answered {} with {} events, complete: {}",
+            attempt.id, names, attempt.status, attempt.events, attempt.complete
+        );
         if at.len() > MAX_ATTEMPTS {
             over += 1;
             record.line(&format!("on {} servers: {text}", at.len()));
--- a/review/harness-2/src/bodies.rs
+++ b/review/harness-2/src/bodies.rs
@@ -113,13 +113,20 @@
 }
 
 /// Books again and again on one kept connection.
-async fn book(front: SocketAddr, next: Arc<AtomicU64>, seen: Arc<Mutex<Seen>>,
-    ends: Arc<AtomicBool>) {
+async fn book(
+    front: SocketAddr,
+    next: Arc<AtomicU64>,
+    seen: Arc<Mutex<Seen>>,
+    ends: Arc<AtomicBool>,
+) {
     let mut kept: Option<Caller> = None;
     while !ends.load(Ordering::Relaxed) {
         let id = format!("b{:08x}", next.fetch_add(1, Ordering::Relaxed));
-        let headers = [("Authorization", "Bearer key-desk"), ("X-Bamboocourse-Request-Id", &*id),
-            ("X-Bamboocourse-Deadline-Ms", "1500")];
+        let headers = [
+            ("Authorization", "Bearer key-desk"),
+            ("X-Bamboocourse-Request-Id", &*id),
+            ("X-Bamboocourse-Deadline-Ms", "1500"),
+        ];
         let mut caller = match kept.take() {
             Some(caller) => caller,
             None => match Caller::connect(front).await {
@@ -194,8 +201,10 @@
             (0, _) | (_, false) => DRAFTS_PER_S,
             _ => DRAFTS_PER_S * BURST_X,
         };
-        record.line(&format!("{rate} drafts a second to each machine for {} ms",
-            BURST_TIME.as_millis()));
+        record.line(&format!(
+            "{rate} drafts a second to each machine for {} ms",
+            BURST_TIME.as_millis()
+        ));
         let began = Instant::now();
         let (mut sent, mut most) = (0, 0);
         while began.elapsed() < BURST_TIME + PAUSE {
@@ -213,8 +222,11 @@
                 peaks[vm] = peaks[vm].max(bytes);
                 most = most.max(bytes);
                 if bytes > MEMORY_BYTES {
-                    record.line(&format!("{} has {} MB and is killed", fleet.vms[vm].name,
-                        bytes / 1_000_000));
+                    record.line(&format!(
+                        "{} has {} MB and is killed",
+                        fleet.vms[vm].name,
+                        bytes / 1_000_000
+                    ));
                     ended[vm] += 1;
                     fleet.kill(vm)?;
                     tokio::time::sleep(Duration::from_millis(300)).await;
@@ -223,8 +235,10 @@
             }
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        record.line(&format!("the most memory of a process so far in this round: {} MB",
-            most / 1_000_000));
+        record.line(&format!(
+            "the most memory of a process so far in this round: {} MB",
+            most / 1_000_000
+        ));
     }
     ends.store(true, Ordering::Relaxed);
     tokio::time::sleep(Duration::from_secs(2)).await;
@@ -242,11 +256,18 @@
         requests.filter_map(|request| request.id().map(str::to_owned)).collect();
     let lost: Vec<&String> = seen.closed.iter().filter(|id| ran.contains(*id)).collect();
     record.line(&format!("drafts by how they ended: {counts:?}"));
-    record.line(&format!("{} bookings; {} ran and ended with a closed connection: {lost:?}",
-        seen.bookings, lost.len()));
+    record.line(&format!(
+        "{} bookings; {} ran and ended with a closed connection: {lost:?}",
+        seen.bookings,
+        lost.len()
+    ));
     for vm in 0..VMS {
-        record.line(&format!("{}: at most {} MB, killed {} times", fleet.vms[vm].name,
-            peaks[vm] / 1_000_000, ended[vm]));
+        record.line(&format!(
+            "{}: at most {} MB, killed {} times",
+            fleet.vms[vm].name,
+            peaks[vm] / 1_000_000,
+            ended[vm]
+        ));
     }
     let machines = ended.iter().filter(|ends| **ends >= ENDS).count();
     Ok(if machines >= MACHINES || lost.len() > 3 { Verdict::Broken } else { Verdict::Held })
--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -63,8 +63,7 @@
 
     /// Starts a VM's process by the command of the deploy file.
     pub fn spawn(&mut self, index: usize) -> std::io::Result<()> {
-        let seeds: Vec<String> =
-            self.vms.iter().take(3).map(|vm| vm.control.to_string()).collect();
+        let seeds: Vec<String> = self.vms.iter().take(3).map(|vm| vm.control.to_string()).collect();
         let zones: String = ZONES.map(|zone| format!("zones.{zone}=region-1\n")).concat();
         let (folder, store) = (self.folder.clone(), self.store);
         let vm = &mut self.vms[index];
@@ -86,8 +85,16 @@
              provider.address={store}\nprovider.form=table\nprovider.writes_per_s=400\n\
              provider.reads_per_s=2000\nprovider.tx_ms=5.0\nprovider.part_writes_per_s=200\n\
              provider.row_bytes=65536\nprovider.across=false\nprovider.history_s=20\n",
-            vm.name, vm.ip, vm.zone, vm.front, vm.ready, vm.control, vm.other_port, vm.other_port,
-            seeds.join(","), !vm.started_before,
+            vm.name,
+            vm.ip,
+            vm.zone,
+            vm.front,
+            vm.ready,
+            vm.control,
+            vm.other_port,
+            vm.other_port,
+            seeds.join(","),
+            !vm.started_before,
         );
         let path = folder.join(format!("{}.conf", vm.name));
         std::fs::write(&path, settings)?;
--- a/review/harness-2/src/slow.rs
+++ b/review/harness-2/src/slow.rs
@@ -174,7 +174,8 @@
     }
     tokio::time::sleep(Duration::from_secs(3)).await;
     let pause = if trouble { PAUSE } else { Duration::ZERO };
-    record.line(&format!("clients read nothing for {} ms in their second answer", pause.as_millis()));
+    record
+        .line(&format!("clients read nothing for {} ms in their second answer", pause.as_millis()));
     let mut callers = Vec::new();
     for number in 0..VMS * CLIENTS {
         callers.push(tokio::spawn(call(fleet.vms[number % VMS].front, number, pause)));
@@ -196,7 +197,8 @@
             record.line(&format!(
                 "{id} ran at {runs:?}; the client got {status} after {} ms, {bytes} bytes, end \
                  after {} ms: {end}",
-                first.as_millis(), last.as_millis()
+                first.as_millis(),
+                last.as_millis()
             ));
         }
     }
