A line for a request that an endpoint broke off names what it asked for

Two attempts of one caller have two ids, so the logs could not tell whether one request ended endpoints again and again, or many did.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -98,6 +98,7 @@
     CrashLog, EVIDENCE_TERM, EndpointEnd, HeldPart, PartChange, PartEvidence, Prompt, PromptCheck,
     SOUND_STREAM_TIME, TRIAL_TERM,
 };
+pub use request::digest::RequestDigest;
 pub use request::dispatch::{
     Dispatcher, EndpointInfo, ModelRef, QueueTicket, Requirements, SendOutcome, Shortage,
 };
--- a/crates/decide/src/request/crash_log.rs
+++ b/crates/decide/src/request/crash_log.rs
@@ -33,6 +33,7 @@
 use crate::ids::{PartId, VmId, WorkspaceId};
 use crate::map::{FastMap, FastSet};
 use crate::request::availability::EndpointInstance;
+use crate::request::digest::RequestDigest;
 
 /// How long an endpoint's end is remembered as evidence.
 pub const EVIDENCE_TERM: Duration = Duration::from_secs(60);
@@ -127,6 +128,8 @@
     pub workspace: WorkspaceId,
     /// The parts of the prompt that other requests may share.
     pub parts: Vec<PartId>,
+    /// What it asks for; the same for each attempt of its caller.
+    pub digest: RequestDigest,
 }
 
 /// The end of an endpoint's process, as one or more VMs saw it.
@@ -325,10 +328,12 @@
     /// Returns whether a request may be sent, for the first time or again.
     ///
     /// ```
-    /// use bamboocourse_decide::{CrashLog, Prompt, PromptCheck};
+    /// use bamboocourse_decide::{CrashLog, Prompt, PromptCheck, RequestDigest};
     /// use std::time::Duration;
     /// let mut log = CrashLog::default();
-    /// let request = Prompt { request: 1, workspace: "w".into(), parts: vec!["p".into()] };
+    /// let digest = RequestDigest::new("w", "POST", &["h", "/path"], b"body");
+    /// let request =
+    ///     Prompt { request: 1, workspace: "w".into(), parts: vec!["p".into()], digest };
     /// assert_eq!(log.check(&request, Duration::ZERO), PromptCheck::Open);
     /// ```
     pub fn check(&mut self, request: &Prompt, now: Duration) -> PromptCheck {
--- a/crates/decide/src/request/mod.rs
+++ b/crates/decide/src/request/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod arrivals;
 pub(crate) mod availability;
 pub(crate) mod crash_log;
+pub(crate) mod digest;
 pub(crate) mod dispatch;
 pub(crate) mod fair;
 pub(crate) mod idempotency;
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -5,7 +5,9 @@
 
 use std::time::Duration;
 
-use bamboocourse_decide::{CrashLog, EndpointEnd, PartId, Prompt, PromptCheck, TRIAL_TERM, VmId};
+use bamboocourse_decide::{
+    CrashLog, EndpointEnd, PartId, Prompt, PromptCheck, RequestDigest, TRIAL_TERM, VmId,
+};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -138,7 +140,12 @@
         let end = EndpointEnd {
             instance: (format!("e{number}").into(), 1),
             at: self.now,
-            suspects: vec![Prompt { request: number, workspace, parts }],
+            suspects: vec![Prompt {
+                request: number,
+                workspace,
+                parts,
+                digest: RequestDigest::of_id(number),
+            }],
             sound: vec![("first".into(), self.now)],
         };
         self.end(vm, end);
@@ -275,7 +282,8 @@
     /// A request with the part comes to a VM.
     pub(crate) fn request(&mut self, vm: usize, number: u64) {
         let parts = vec!["first".into(), BAD.into()];
-        let request = Prompt { request: number, workspace: "w5".into(), parts };
+        let digest = RequestDigest::of_id(number);
+        let request = Prompt { request: number, workspace: "w5".into(), parts, digest };
         self.waiting.push(Waiting { vm, request, until: self.now + TRIAL_TERM });
         self.check_waiting();
     }
--- a/crates/decide/tests/crash_fleet.rs
+++ b/crates/decide/tests/crash_fleet.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use bamboocourse_decide::{Prompt, PromptCheck, TRIAL_TERM};
+use bamboocourse_decide::{Prompt, PromptCheck, RequestDigest, TRIAL_TERM};
 use rand::RngExt;
 
 use common::{BAD, Fleet, LEADER_GAP, RELAY_ASK_INTERVAL, RELAY_GAP, STEP, Vm};
@@ -18,7 +18,9 @@
 impl Fleet {
     /// Returns whether a VM sends no requests with the bad part.
     fn holds(&mut self, vm: usize) -> bool {
-        let request = Prompt { request: 999, workspace: "w5".into(), parts: vec![BAD.into()] };
+        let digest = RequestDigest::of_id(999);
+        let request =
+            Prompt { request: 999, workspace: "w5".into(), parts: vec![BAD.into()], digest };
         matches!(self.vms[vm].log.check(&request, self.now), PromptCheck::Held(_))
     }
 
--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -7,6 +7,7 @@
 
 use bamboocourse_decide::{
     CrashLog, EVIDENCE_TERM, EndpointEnd, HeldPart, PartChange, PartId, Prompt, PromptCheck,
+    RequestDigest,
 };
 use proptest::prelude::*;
 use rand::rngs::StdRng;
@@ -30,7 +31,7 @@
 /// Returns a request of the workspace `w` with these parts.
 fn prompt(request: u64, parts: &[&str]) -> Prompt {
     let parts = parts.iter().map(PartId::new).collect();
-    Prompt { request, workspace: "w".into(), parts }
+    Prompt { request, workspace: "w".into(), parts, digest: RequestDigest::of_id(request) }
 }
 
 /// Returns the end of an endpoint under these requests.
@@ -378,7 +379,7 @@
         log.check(&other, seconds(5.0)),
         PromptCheck::EndedEndpoints(_) | PromptCheck::Held(_)
     ));
-    let new = Prompt { request: 8, ..other };
+    let new = Prompt { request: 8, digest: RequestDigest::of_id(8), ..other };
     assert!(matches!(log.check(&new, seconds(5.0)), PromptCheck::Held(_)));
 }
 
@@ -406,7 +407,8 @@
         let parts: Vec<PartId> = (0..16).map(|part| format!("n{number}-{part}").into()).collect();
         log.on_sound(&"greedy".into(), &parts, seconds(at), seconds(at));
         if number % 100 == 0 {
-            let suspect = Prompt { request: number, workspace: "greedy".into(), parts };
+            let (workspace, digest) = ("greedy".into(), RequestDigest::of_id(number));
+            let suspect = Prompt { request: number, workspace, parts, digest };
             add(&mut log, number as usize, at, &vec![suspect; 100]);
         }
     }
@@ -594,6 +596,7 @@
                     request: step * 2 + number,
                     workspace: workspace.as_str().into(),
                     parts: parts.iter().map(PartId::new).collect(),
+                    digest: RequestDigest::of_id(step * 2 + number),
                 };
                 outcome.sound += u32::from(!is_bad);
                 if !matches!(
--- a/crates/decide/tests/crash_patterns.rs
+++ b/crates/decide/tests/crash_patterns.rs
@@ -11,7 +11,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use bamboocourse_decide::{EndpointEnd, PartId, Prompt, PromptCheck};
+use bamboocourse_decide::{EndpointEnd, PartId, Prompt, PromptCheck, RequestDigest};
 use rand::RngExt;
 
 use common::{BAD, Fleet, STEP};
@@ -134,6 +134,7 @@
             request: self.next_request,
             workspace: workspace.as_str().into(),
             parts: parts.iter().map(PartId::new).collect(),
+            digest: RequestDigest::of_id(self.next_request),
         };
         self.sound += usize::from(!(has_part && self.is_bad));
         self.send(vm, prompt, 1);
--- a/crates/entry/src/process/crashes.rs
+++ b/crates/entry/src/process/crashes.rs
@@ -7,7 +7,7 @@
 
 use bamboocourse_decide::{
     CrashLog, EndpointEnd, EndpointInstance, HeldPart, PartChange, PartEvidence, PartId, Prompt,
-    PromptCheck, TRIAL_TERM, VmId, WorkspaceId,
+    PromptCheck, RequestDigest, TRIAL_TERM, VmId, WorkspaceId,
 };
 use log::{info, warn};
 use tokio::sync::Notify;
@@ -371,6 +371,7 @@
         request: suspect.request,
         workspace: suspect.workspace.to_string(),
         parts: suspect.parts.iter().map(ToString::to_string).collect(),
+        digest: suspect.digest.as_bytes().to_vec(),
     });
     wire::EndpointEnd {
         endpoint: end.instance.0.to_string(),
@@ -386,6 +387,9 @@
         request: suspect.request,
         workspace: (&suspect.workspace).into(),
         parts: suspect.parts.iter().map(PartId::new).collect(),
+        digest: RequestDigest::from_bytes(&suspect.digest)
+            // A VM of an older version does not tell it.
+            .unwrap_or_else(|| RequestDigest::of_id(suspect.request)),
     });
     EndpointEnd {
         instance: (message.endpoint.as_str().into(), message.born),
--- a/crates/entry/src/request/loss.rs
+++ b/crates/entry/src/request/loss.rs
@@ -52,6 +52,7 @@
         info!(id = job.request.id.as_str(), endpoint = slot.name.as_str(), born = slot.instance,
             progress = progress.name(), streaming_ms = streaming.as_millis() as u64,
             filled_percent = (slot.utilization * 100.0) as u64,
+            digest:% = job.prompt.digest, workspace = job.prompt.workspace.as_str(),
             parts = job.prompt.parts.join(",").as_str(); "an endpoint broke a request off");
         self.metrics.broken_off.add(1, &[]);
         // Such a request is not sent again, and has no part that others share.
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -18,8 +18,8 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    Arrivals, ErrorKind, FleetConfig, FleetRoute, FleetWorkspace, Prompt, Refusal, Requirements,
-    RunEnd, RunTimes, SendOutcome, ServiceId, Shortage, WorkspaceId, hash_of,
+    Arrivals, ErrorKind, FleetConfig, FleetRoute, FleetWorkspace, Prompt, Refusal, RequestDigest,
+    Requirements, RunEnd, RunTimes, SendOutcome, ServiceId, Shortage, WorkspaceId, hash_of,
 };
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -255,6 +255,11 @@
             request: hash_of(&request.id),
             workspace: workspace.map(|workspace| workspace.name.clone()).unwrap_or_default(),
             parts: request.parts.clone(),
+            digest: request_digest(
+                workspace.map_or("", |workspace| &workspace.name),
+                &request,
+                &body,
+            ),
         };
         let is_trial = self.check_prompt(&prompt).await?;
         let permit = self.scheduler.has_limits().then(|| (service.clone(), request.target.clone()));
@@ -543,6 +548,12 @@
     }
 }
 
+/// Returns the digest of what a request asks for: other attempts of its caller have the same one.
+fn request_digest(workspace: &str, request: &CallerRequest, body: &Bytes) -> RequestDigest {
+    let target = request.uri.path_and_query().map_or("", |target| target.as_str());
+    RequestDigest::new(workspace, request.method.as_str(), &[&request.host, target], body)
+}
+
 fn build_response(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -267,6 +267,9 @@
     /// The ids of the parts that other requests may share.
     #[prost(string, repeated, tag = "3")]
     pub parts: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The digest of what it asks for.
+    #[prost(bytes = "vec", tag = "4")]
+    pub digest: ::prost::alloc::vec::Vec<u8>,
 }
 /// A part of prompts, and that a request with it was answered.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
