--- /dev/null
+++ b/crates/decide/src/request/crash_log/mod.rs
@@ -0,0 +1,321 @@
+//! Which parts of prompts crash the endpoints that begin to answer requests with them.
+//!
+//! When an endpoint's process ends, the requests that it had not yet been seen to answer are the
+//! suspects: one of them may have ended it. A part of a prompt is held back once it was among the
+//! suspects of several endpoints that ended, and no request with it has been answered since. What
+//! counts for a part, and what against:
+//!
+//! - An endpoint counts once, whatever number of VMs saw it end. A request that was sent on from one
+//!   endpoint to the next does not suffice by itself.
+//! - Ends at the same moment are one piece of evidence: a part that most requests share is among the
+//!   suspects of every endpoint, so the loss of a rack says nothing about it. The ends must be spread
+//!   over so long that a sound part would have been answered in between by endpoints that did not end.
+//! - A part in doubt is told to all VMs, and those that saw it answered say so before it is held back.
+//!   A VM that reports to another one leaves the decision to it.
+//! - An endpoint whose end is explained by a part that is held back already, or that more endpoints
+//!   ended under, does not count against the other parts of the same requests.
+//! - A part that may be held back by chance is let go once more endpoints have ended under another one,
+//!   among them all that had ended under the first.
+//! - A request with the part that some endpoint went on answering clears all earlier evidence. A part
+//!   that was answered some time ago needs more evidence than one that never was. So does any part
+//!   while endpoints also end under other requests: a rare part may have been there by chance.
+//! - A part is held back only for the workspace whose requests ended all these endpoints, until a
+//!   request of another one has ended one, too.
+//!
+//! The leader tells the other VMs which parts are held back and which are in doubt. A VM that it does
+//! not reach decides by what it has seen itself.
+//!
+//! After some time, one request is tried with a part, wherever it comes: a VM that has such a request
+//! asks for the trial with its next report, and the leader allows it to the first that asks.
+
+mod evidence;
+mod holds;
+mod sound;
+mod trials;
+
+use std::time::Duration;
+
+use crate::ids::{PartId, WorkspaceId};
+use crate::map::FastMap;
+use crate::request::availability::EndpointInstance;
+use crate::request::digest::RequestDigest;
+
+use self::evidence::{Doubt, MOMENT};
+use self::holds::{HOLD_TERM, Hold, UNCONFIRMED_TERM};
+use self::sound::SOUND_MEMORY;
+use self::trials::TrialAsk;
+
+pub use self::evidence::PartEvidence;
+pub use self::holds::HeldPart;
+pub use self::trials::TRIAL_TERM;
+
+/// How long an endpoint's end is remembered as evidence.
+pub const EVIDENCE_TERM: Duration = Duration::from_secs(60);
+/// How long after its first event a stream counts as answered: an endpoint that crashes on a request
+/// does so when it begins to answer.
+pub const SOUND_STREAM_TIME: Duration = Duration::from_millis(300);
+
+/// How often entries are looked for that are older than that.
+const SOUND_PRUNE_INTERVAL: Duration = Duration::from_secs(30);
+
+/// The endpoints that a request may end before it is sent no more, not counting those that ended at the
+/// same moment as others that did not have it.
+const MAX_REQUEST_ENDS: usize = 2;
+
+/// The same, counting all.
+const MAX_SHARED_ENDS: usize = 3;
+
+/// The most endpoints whose end is remembered.
+const MAX_ENDS: usize = 64;
+
+/// The most suspects of one endpoint's end that are remembered.
+const MAX_SUSPECTS: usize = 64;
+
+/// The most of them that are remembered of one workspace.
+const MAX_WORKSPACE_SUSPECTS: usize = 16;
+
+/// A request, as far as its prompt is concerned.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Prompt {
+    /// A hash of the request's id.
+    pub request: u64,
+    /// The workspace.
+    pub workspace: WorkspaceId,
+    /// The parts of the prompt that other requests may share.
+    pub parts: Vec<PartId>,
+    /// What it asks for; the same for each attempt of its caller.
+    pub digest: RequestDigest,
+}
+
+/// The end of an endpoint's process, as one or more VMs saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointEnd {
+    /// The process instance.
+    pub instance: EndpointInstance,
+    /// When a VM first saw it end.
+    pub at: Duration,
+    /// The suspects: the requests that the endpoint had not been seen to answer.
+    pub suspects: Vec<Prompt>,
+    /// When requests with parts of the suspects last began to be answered, as far as is known.
+    pub sound: Vec<(PartId, Duration)>,
+}
+
+/// Whether a request may be sent to endpoints.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PromptCheck {
+    /// Nothing speaks against it.
+    Open,
+    /// It may be sent once, to learn whether a part is sound again.
+    Trial,
+    /// A part of its prompt is held back.
+    Held(HeldPart),
+    /// The request itself has ended this number of endpoints.
+    EndedEndpoints(usize),
+}
+
+/// A change at the parts that are held back, for logs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PartChange {
+    /// The part was a suspect when this number of endpoints ended, and needs more evidence.
+    Suspected(PartId, usize),
+    /// This VM has found the evidence against a part sufficient.
+    Decided(PartEvidence),
+    /// The part is held back from now on, or for all workspaces instead of one.
+    Held(HeldPart),
+    /// The part is no longer held back, for this reason.
+    Released(HeldPart, &'static str),
+}
+
+/// The ends of endpoints, and the parts that are held back because of them, as one VM knows them.
+#[derive(Debug, Default)]
+pub struct CrashLog {
+    ends: Vec<(u64, EndpointEnd)>,
+    last_number: u64,
+    /// When requests with a part last began to be answered, as this VM saw it, for each workspace.
+    sound: FastMap<WorkspaceId, FastMap<PartId, Duration>>,
+    /// The same, as other VMs told it, for parts of suspects.
+    told_sound: FastMap<PartId, Duration>,
+    /// When the two were last searched for entries that are too old.
+    sound_pruned: Duration,
+    held: FastMap<PartId, Hold>,
+    /// The parts that this VM finds in doubt.
+    doubts: FastMap<PartId, Doubt>,
+    /// The same of the VM that this one reports to: when the first endpoint ended that counts.
+    told_doubts: FastMap<PartId, Duration>,
+    /// When that VM last told something.
+    last_told: Option<Duration>,
+    /// Whether there is something to report that the VM above waits for.
+    has_news: bool,
+    /// The trials that this VM and those that report to it have asked for, oldest first.
+    asks: Vec<TrialAsk>,
+    /// Until when this VM may try one request with a part.
+    allowed: FastMap<PartId, Duration>,
+    changes: Vec<PartChange>,
+    leads: bool,
+}
+
+impl CrashLog {
+    /// Returns whether a request may be sent, for the first time or again.
+    ///
+    /// ```
+    /// use bamboocourse_decide::{CrashLog, Prompt, PromptCheck, RequestDigest};
+    /// use std::time::Duration;
+    /// let mut log = CrashLog::default();
+    /// let digest = RequestDigest::new("w", "POST", &["h", "/path"], b"body");
+    /// let request =
+    ///     Prompt { request: 1, workspace: "w".into(), parts: vec!["p".into()], digest };
+    /// assert_eq!(log.check(&request, Duration::ZERO), PromptCheck::Open);
+    /// ```
+    pub fn check(&mut self, request: &Prompt, now: Duration) -> PromptCheck {
+        let ends = self.request_ends(request.request);
+        if ends >= MAX_SHARED_ENDS || self.own_ends(request.request) >= MAX_REQUEST_ENDS {
+            return PromptCheck::EndedEndpoints(ends);
+        }
+        if self.held.is_empty() {
+            return PromptCheck::Open;
+        }
+        for part in &request.parts {
+            let Some(hold) = self.held.get(part) else { continue };
+            if hold.held.workspace.as_ref().is_some_and(|only| *only != request.workspace) {
+                continue;
+            }
+            let held = hold.held.clone();
+            let is_allowed =
+                |log: &mut Self| log.allowed.remove(part).is_some_and(|until| now < until);
+            if ends == 0 && (self.take_trial(part, now) || is_allowed(self)) {
+                return PromptCheck::Trial;
+            }
+            return PromptCheck::Held(held);
+        }
+        PromptCheck::Open
+    }
+
+    /// Returns how many endpoints ended while they had this request and had not answered it.
+    pub fn request_ends(&self, request: u64) -> usize {
+        let is_suspect =
+            |end: &EndpointEnd| end.suspects.iter().any(|suspect| suspect.request == request);
+        self.ends.iter().filter(|(_, end)| is_suspect(end)).count()
+    }
+
+    /// Returns how many of them ended while no other endpoint did that had no such request: in the loss of a
+    /// domain, a request may lose one endpoint after the other.
+    fn own_ends(&self, request: u64) -> usize {
+        let is_suspect =
+            |end: &EndpointEnd| end.suspects.iter().any(|suspect| suspect.request == request);
+        let (with, without): (Vec<_>, Vec<_>) =
+            self.ends.iter().map(|(_, end)| end).partition(|end| is_suspect(end));
+        let is_shared =
+            |end: &EndpointEnd| without.iter().any(|other| other.at.abs_diff(end.at) <= MOMENT);
+        with.iter().filter(|end| !is_shared(end)).count()
+    }
+
+    /// Returns whether it is known that an instance has ended.
+    pub fn has_ended(&self, instance: &EndpointInstance) -> bool {
+        self.ends.iter().any(|(_, end)| end.instance == *instance)
+    }
+
+    /// Records that an endpoint ended, as this VM saw it or another one told it; returns whether that
+    /// is new.
+    pub fn on_end(&mut self, mut end: EndpointEnd, now: Duration) -> bool {
+        if end.at + EVIDENCE_TERM <= now {
+            return false;
+        }
+        for (part, at) in end.sound.drain(..) {
+            self.note_told_sound(part, at.min(now));
+        }
+        let known = self.ends.iter().position(|(_, known)| known.instance == end.instance);
+        let index = known.unwrap_or_else(|| {
+            self.ends.push((0, EndpointEnd { suspects: Vec::new(), ..end.clone() }));
+            self.ends.len() - 1
+        });
+        let (number, merged) = &mut self.ends[index];
+        let mut is_new = known.is_none();
+        merged.at = merged.at.min(end.at);
+        for suspect in end.suspects {
+            let own = merged.suspects.iter().filter(|other| other.workspace == suspect.workspace);
+            let is_known = merged.suspects.iter().any(|other| other.request == suspect.request);
+            let has_room = merged.suspects.len() < MAX_SUSPECTS;
+            if !is_known && has_room && own.count() < MAX_WORKSPACE_SUSPECTS {
+                merged.suspects.push(suspect);
+                is_new = true;
+            }
+        }
+        if is_new {
+            self.last_number += 1;
+            *number = self.last_number;
+        }
+        if self.ends.len() > MAX_ENDS {
+            // The oldest one stays, as it tells for how long endpoints have been ending.
+            let mut oldest: Vec<usize> = (0..self.ends.len()).collect();
+            oldest.sort_by_key(|index| self.ends[*index].1.at);
+            self.ends.remove(oldest[1]);
+        }
+        self.evaluate(now);
+        is_new
+    }
+
+    /// Returns whether this VM decides by itself which parts are held back.
+    fn decides(&self, now: Duration) -> bool {
+        self.leads || self.last_told.is_none_or(|at| at + UNCONFIRMED_TERM <= now)
+    }
+
+    /// Returns whether this VM leads.
+    pub fn leads(&self) -> bool {
+        self.leads
+    }
+
+    /// Sets whether this VM leads, and so decides about trials.
+    pub fn set_leads(&mut self, leads: bool) {
+        self.leads = leads;
+    }
+
+    /// Returns the ends that were recorded or changed after a number, and the last number.
+    ///
+    /// Each says of the parts of its suspects when requests with them were last answered.
+    pub fn ends_after(&self, number: u64) -> (Vec<EndpointEnd>, u64) {
+        let later = self.ends.iter().filter(|(at, _)| *at > number);
+        let later = later.map(|(_, end)| EndpointEnd {
+            sound: self.known_sound(end.suspects.iter().flat_map(|suspect| &suspect.parts)),
+            ..end.clone()
+        });
+        (later.collect(), self.last_number)
+    }
+
+    /// Returns the changes since the last call.
+    pub fn take_changes(&mut self) -> Vec<PartChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Forgets what is too old.
+    pub fn prune(&mut self, now: Duration) {
+        self.ends.retain(|(_, end)| now < end.at + EVIDENCE_TERM);
+        if now >= self.sound_pruned + SOUND_PRUNE_INTERVAL {
+            self.sound_pruned = now;
+            for parts in self.sound.values_mut() {
+                parts.retain(|_, at| now < *at + SOUND_MEMORY);
+            }
+            self.sound.retain(|_, parts| !parts.is_empty());
+            self.told_sound.retain(|_, at| now < *at + SOUND_MEMORY);
+        }
+        let expired = self.held.iter().filter(|(_, hold)| hold.held.last + HOLD_TERM <= now);
+        let expired: Vec<PartId> = expired.map(|(part, _)| part.clone()).collect();
+        for part in expired {
+            self.release(&part, "its time is over");
+        }
+        if self.ends.is_empty() {
+            self.doubts.clear();
+        }
+        // Time alone may decide: VMs that know nothing say nothing.
+        if !self.doubts.is_empty() || self.held.values().any(|hold| hold.held.weak) {
+            self.evaluate(now);
+        }
+        self.drop_old_asks(now);
+        self.allowed.retain(|_, until| now < *until);
+    }
+
+    /// Returns how many ends, parts of answered requests and held parts are remembered.
+    pub fn sizes(&self) -> (usize, usize, usize) {
+        let sound = self.sound.values().map(FastMap::len).sum::<usize>() + self.told_sound.len();
+        (self.ends.len(), sound, self.held.len())
+    }
+}
--- /dev/null
+++ b/crates/decide/src/request/crash_log/trials.rs
@@ -0,0 +1,159 @@
+//! Requests that are tried although a part of their prompt is held back.
+
+use std::time::Duration;
+
+use super::{CrashLog, HeldPart};
+use crate::ids::{PartId, VmId};
+use crate::map::FastSet;
+
+/// The times until one request after the other is tried with a part that is held back: from the last
+/// endpoint that ended to the first trial, and from each trial to the next.
+pub(super) const TRIAL_DELAYS: &[Duration] =
+    &[Duration::from_secs(60), Duration::from_secs(300), Duration::from_secs(1_500)];
+
+/// The same for a part that may be held back by chance.
+pub(super) const WEAK_TRIAL_DELAYS: &[Duration] = &[
+    Duration::from_millis(1_500),
+    Duration::from_secs(5),
+    Duration::from_secs(10),
+    Duration::from_secs(300),
+    Duration::from_secs(1_500),
+];
+
+/// The most endpoints that end under a part, after which no further request is tried: three more than
+/// those that suffice to hold any part back.
+pub(super) const MAX_PART_ENDS: u32 = 8;
+/// How long a request waits for the leader's word whether it is tried, and how long that holds.
+pub const TRIAL_TERM: Duration = Duration::from_millis(600);
+/// How long a VM asks for no further trial with a part after it asked for one in vain.
+pub(super) const TRIAL_ASK_INTERVAL: Duration = Duration::from_secs(3);
+
+/// The most asks for trials that a relay keeps for its members.
+pub(super) const MAX_TRIAL_ASKS: usize = 256;
+
+/// Who asked when for a trial with a part.
+#[derive(Debug)]
+pub(super) struct TrialAsk {
+    pub(super) part: PartId,
+    pub(super) asker: TrialAsker,
+    pub(super) at: Duration,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum TrialAsker {
+    /// A request of this VM's callers.
+    Request(u64),
+    /// A VM that reports to this one.
+    Member(VmId),
+}
+
+impl HeldPart {
+    /// Returns when the next request with the part may be tried; `None` if none will be.
+    pub(super) fn next_trial(&self) -> Option<Duration> {
+        let delays = if self.weak { WEAK_TRIAL_DELAYS } else { TRIAL_DELAYS };
+        let delay = delays.get(self.trials as usize).filter(|_| self.ends < MAX_PART_ENDS);
+        delay.map(|delay| self.last + *delay)
+    }
+
+    /// Returns how long it takes until a request that is tried has shown whether the part is sound; `None`
+    /// if the evidence is conclusive, or no further request will be tried.
+    ///
+    /// ```
+    /// use bamboocourse_decide::HeldPart;
+    /// use std::time::Duration;
+    /// let (first, last) = (Duration::from_secs(10), Duration::from_secs(11));
+    /// let held = HeldPart {
+    ///     part: "p".into(),
+    ///     workspace: None,
+    ///     first,
+    ///     last,
+    ///     ends: 3,
+    ///     trials: 0,
+    ///     weak: true,
+    /// };
+    /// assert!(held.recheck_after(last).is_some());
+    /// assert_eq!(HeldPart { weak: false, ..held }.recheck_after(last), None);
+    /// ```
+    pub fn recheck_after(&self, now: Duration) -> Option<Duration> {
+        let trial = self.next_trial().filter(|_| self.weak)?;
+        Some(trial.saturating_sub(now) + TRIAL_TERM)
+    }
+
+    /// Returns whether a request with the part may be tried.
+    pub(super) fn may_try(&self, now: Duration) -> bool {
+        self.next_trial().is_some_and(|trial| trial <= now)
+    }
+}
+
+impl CrashLog {
+    /// Takes the next trial with a part, if this VM leads and it is due.
+    pub(super) fn take_trial(&mut self, part: &PartId, now: Duration) -> bool {
+        let due = self.held.get_mut(part).filter(|hold| self.leads && hold.held.may_try(now));
+        let Some(hold) = due else { return false };
+        hold.held.trials += 1;
+        hold.held.last = now;
+        true
+    }
+
+    /// Asks for a trial with a part for a new request that is held back because of it; returns whether
+    /// the request waits for it, for at most [`TRIAL_TERM`]. One request of a VM does at a time.
+    pub fn ask_trial(&mut self, part: &PartId, request: u64, now: Duration) -> bool {
+        let is_due = self.held.get(part).is_some_and(|hold| hold.held.may_try(now));
+        if self.leads || !is_due || self.request_ends(request) > 0 {
+            return false;
+        }
+        self.drop_old_asks(now);
+        let own = self
+            .asks
+            .iter()
+            .find(|ask| ask.part == *part && matches!(ask.asker, TrialAsker::Request(_)));
+        if let Some(own) = own {
+            return own.asker == TrialAsker::Request(request) && now < own.at + TRIAL_TERM;
+        }
+        let asker = TrialAsker::Request(request);
+        self.asks.push(TrialAsk { part: part.clone(), asker, at: now });
+        true
+    }
+
+    pub(super) fn drop_old_asks(&mut self, now: Duration) {
+        self.asks.retain(|ask| match ask.asker {
+            TrialAsker::Request(_) => now < ask.at + TRIAL_ASK_INTERVAL,
+            TrialAsker::Member(_) => now < ask.at + TRIAL_TERM,
+        });
+    }
+
+    /// Returns the parts for which this VM and those that report to it wait for a trial.
+    pub fn asked_trials(&self, now: Duration) -> Vec<PartId> {
+        let open = self.asks.iter().filter(|ask| now < ask.at + TRIAL_TERM);
+        let parts: FastSet<&PartId> = open.map(|ask| &ask.part).collect();
+        parts.into_iter().cloned().collect()
+    }
+
+    /// Takes in that a VM that reports to this one asks for a trial; returns whether it may try one
+    /// request, which only the leader allows.
+    pub fn on_trial_ask(&mut self, part: &PartId, vm: &VmId, now: Duration) -> bool {
+        if self.leads {
+            return self.take_trial(part, now);
+        }
+        self.drop_old_asks(now);
+        let asker = TrialAsker::Member(vm.clone());
+        let is_known = self.asks.iter().any(|ask| ask.part == *part && ask.asker == asker);
+        if !is_known && self.held.contains_key(part) && self.asks.len() < MAX_TRIAL_ASKS {
+            self.asks.push(TrialAsk { part: part.clone(), asker, at: now });
+        }
+        false
+    }
+
+    /// Takes in that this VM, or one that reports to it, may try one request with a part; returns
+    /// the VM to pass this on to. The one that asked first gets it.
+    pub fn on_trial_allowed(&mut self, part: &PartId, now: Duration) -> Option<VmId> {
+        self.drop_old_asks(now);
+        let index = self.asks.iter().position(|ask| ask.part == *part && now < ask.at + TRIAL_TERM);
+        let asker = index.map(|index| self.asks.remove(index).asker);
+        if let Some(TrialAsker::Member(vm)) = asker {
+            return Some(vm);
+        }
+        self.allowed.insert(part.clone(), now + TRIAL_TERM);
+        None
+    }
+}
