--- a/crates/decide/src/error.rs
+++ b/crates/decide/src/error.rs
@@ -81,6 +81,10 @@
     PromptHeld,
     /// Endpoints have crashed under requests with a part of the prompt, which may be by chance.
     PromptSuspected,
+    /// Attempts of the request have crashed endpoints.
+    RequestHeld,
+    /// Endpoints have crashed under attempts of the request, which may be by chance.
+    RequestSuspected,
 }
 
 /// What a caller receives for a kind of refusal.
@@ -107,7 +111,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of declaration.
-    pub const ALL: [ErrorKind; 28] = [
+    pub const ALL: [ErrorKind; 30] = [
         ErrorKind::BadRequest,
         ErrorKind::BodyTooLarge,
         ErrorKind::HeaderTooLarge,
@@ -136,8 +140,15 @@
         ErrorKind::JobUnknown,
         ErrorKind::PromptHeld,
         ErrorKind::PromptSuspected,
+        ErrorKind::RequestHeld,
+        ErrorKind::RequestSuspected,
     ];
 
+    /// Returns whether requests are refused for good because endpoints have crashed under them.
+    pub fn is_held(self) -> bool {
+        matches!(self, ErrorKind::PromptHeld | ErrorKind::RequestHeld)
+    }
+
     /// Returns the response of this kind.
     ///
     /// ```
@@ -202,6 +213,12 @@
             ErrorKind::PromptSuspected => {
                 response("prompt_suspected", 503, true, "wait for Retry-After")
             }
+            ErrorKind::RequestHeld => {
+                response("request_held", 400, false, "do not send this request again")
+            }
+            ErrorKind::RequestSuspected => {
+                response("request_suspected", 503, true, "wait for Retry-After")
+            }
         }
     }
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -95,8 +95,8 @@
     Availability, AvailabilityLog, EndpointInstance, MAX_QUIET, QuietRequest, UNREADABLE_QUIET,
 };
 pub use request::crash_log::{
-    CrashLog, EVIDENCE_TERM, EndpointEnd, HeldPart, PartChange, PartEvidence, Prompt, PromptCheck,
-    SOUND_STREAM_TIME, TRIAL_TERM,
+    Cause, CauseChange, CauseEvidence, CrashLog, EVIDENCE_TERM, EndpointEnd, HeldCause,
+    RequestContent, SOUND_STREAM_TIME, SendCheck, TRIAL_TERM,
 };
 pub use request::digest::RequestDigest;
 pub use request::dispatch::{
--- a/crates/decide/src/request/crash_log/evidence.rs
+++ b/crates/decide/src/request/crash_log/evidence.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use super::{CrashLog, EVIDENCE_TERM, EndpointEnd, HeldPart, PartChange};
-use crate::ids::{PartId, WorkspaceId};
+use super::requests::EndSet;
+use super::{Cause, CauseChange, CrashLog, EVIDENCE_TERM, EndpointEnd, HeldCause};
+use crate::ids::WorkspaceId;
 use crate::map::{FastMap, FastSet};
 use crate::request::availability::EndpointInstance;
+use crate::request::digest::RequestDigest;
 
 /// The endpoints that must have ended under a part that no request was ever answered with, if few
 /// ended under other requests.
@@ -49,9 +51,9 @@
 
 /// Why a VM has decided to hold a part back.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PartEvidence {
+pub struct CauseEvidence {
     /// The part.
-    pub part: PartId,
+    pub cause: Cause,
     /// The ends that count: the endpoint, when it ended, and the number of suspects.
     pub ends: Vec<(EndpointInstance, Duration, usize)>,
     /// The number of different requests with the part among the suspects.
@@ -75,10 +77,11 @@
 #[derive(Debug, Default)]
 pub(super) struct Evidence<'a> {
     pub(super) ends: usize,
-    pub(super) requests: FastSet<u64>,
+    pub(super) requests: FastSet<RequestDigest>,
     pub(super) workspaces: FastSet<&'a WorkspaceId>,
     pub(super) first: Duration,
     pub(super) last: Duration,
+    pub(super) set: EndSet,
     /// When the endpoints ended.
     pub(super) times: Vec<Duration>,
     /// The endpoints that ended under other requests.
@@ -132,13 +135,13 @@
         starts.count()
     }
 
-    pub(super) fn held_part(&self, part: &PartId) -> HeldPart {
+    pub(super) fn held_cause(&self, part: &Cause) -> HeldCause {
         let mut workspaces = self.workspaces.iter();
         let only = workspaces.next().filter(|_| workspaces.next().is_none());
         // A request on a public route belongs to no workspace.
         let only = only.filter(|only| !only.is_empty());
-        HeldPart {
-            part: part.clone(),
+        HeldCause {
+            cause: part.clone(),
             workspace: only.map(|workspace| WorkspaceId::clone(workspace)),
             first: self.first,
             last: self.last,
@@ -150,17 +153,17 @@
 }
 
 /// Returns the part that most ends speak against, if they are enough to hold it back.
-pub(super) fn most_suspected(evidence: &FastMap<&PartId, Evidence<'_>>) -> Option<HeldPart> {
+pub(super) fn most_suspected(evidence: &FastMap<&Cause, Evidence<'_>>) -> Option<HeldCause> {
     let enough = evidence.iter().filter(|(_, evidence)| evidence.is_enough());
     let best = enough.max_by_key(|(part, evidence)| {
-        (evidence.sound_at.is_none(), evidence.ends, evidence.place, PartId::clone(part))
+        (evidence.sound_at.is_none(), evidence.ends, evidence.place, Cause::clone(part))
     });
-    best.map(|(part, evidence)| evidence.held_part(part))
+    best.map(|(part, evidence)| evidence.held_cause(part))
 }
 
 impl CrashLog {
     /// Returns the parts in doubt, and when the first endpoint ended that counts against each.
-    pub fn doubts(&self) -> Vec<(PartId, Duration)> {
+    pub fn doubts(&self) -> Vec<(Cause, Duration)> {
         let own = self.doubts.iter().map(|(part, doubt)| (part.clone(), doubt.first));
         let told = self.told_doubts.iter().filter(|(part, _)| !self.doubts.contains_key(*part));
         own.chain(told.map(|(part, first)| (part.clone(), *first))).collect()
@@ -168,7 +171,7 @@
 
     /// Takes in which parts the VM that this one reports to finds in doubt, and when the first
     /// endpoint ended that counts against each.
-    pub fn on_told_doubts(&mut self, told: Vec<(PartId, Duration)>) {
+    pub fn on_told_doubts(&mut self, told: Vec<(Cause, Duration)>) {
         if self.leads {
             return;
         }
@@ -187,16 +190,18 @@
         while let Some(held) = self.find_widened(now) {
             self.hold(held, false, now);
         }
+        self.evaluate_requests(now);
         self.update_doubts(now);
         while let Some(held) = self.find_part(now) {
-            let evidence = self.evidence_against(&held.part, now);
-            self.changes.extend(evidence.map(PartChange::Decided));
+            let evidence = self.evidence_against(&held.cause, now);
+            self.changes.extend(evidence.map(CauseChange::Decided));
             self.hold(held, false, now);
             self.update_doubts(now);
         }
         self.confirm_held(now);
         self.release_explained(now);
-        let held: Vec<PartId> = self.held.keys().cloned().collect();
+        let held = self.held.keys().filter(|cause| !cause.is_request());
+        let held: Vec<Cause> = held.cloned().collect();
         for part in held {
             let ends = self.part_ends(&part, now);
             if let Some(hold) = self.held.get_mut(&part) {
@@ -206,27 +211,34 @@
     }
 
     /// Returns how many endpoints ended under a part since a request with it was last answered.
-    pub(super) fn part_ends(&self, part: &PartId, now: Duration) -> u32 {
+    pub(super) fn part_ends(&self, part: &Cause, now: Duration) -> u32 {
         let sound_at = self.sound_at(part);
-        let ends = self.recent_ends(now).filter(|end| {
-            sound_at.is_none_or(|at| at < end.at)
-                && end.suspects.iter().any(|suspect| suspect.parts.contains(part))
-        });
+        let ends = self
+            .recent_ends(now)
+            .filter(|end| sound_at.is_none_or(|at| at < end.at) && end.is_under(part));
         ends.count() as u32
     }
 
+    /// Returns the recent ends with their places among all that are remembered.
+    pub(super) fn indexed_ends(
+        &self,
+        now: Duration,
+    ) -> impl Iterator<Item = (usize, &EndpointEnd)> {
+        let ends = self.ends.iter().map(|(_, end)| end).enumerate();
+        ends.filter(move |(_, end)| now < end.at + EVIDENCE_TERM)
+    }
+
     /// Returns the ends that are recent enough to count.
     pub(super) fn recent_ends(&self, now: Duration) -> impl Iterator<Item = &EndpointEnd> {
-        let ends = self.ends.iter().map(|(_, end)| end);
-        ends.filter(move |end| now < end.at + EVIDENCE_TERM)
+        self.indexed_ends(now).map(|(_, end)| end)
     }
 
     /// Finds the part that most ends speak against, if they are enough and this VM decides.
-    pub(super) fn find_part(&self, now: Duration) -> Option<HeldPart> {
+    pub(super) fn find_part(&self, now: Duration) -> Option<HeldCause> {
         if !self.decides(now) {
             return None;
         }
-        let is_asked = |part: &PartId| {
+        let is_asked = |part: &Cause| {
             self.doubts.get(part).is_some_and(|doubt| doubt.since + DOUBT_TERM <= now)
         };
         let mut latest = self.gather(None, now);
@@ -242,31 +254,30 @@
     pub(super) fn update_doubts(&mut self, now: Duration) {
         let evidence = self.gather(None, now);
         let suspected = evidence.iter().filter(|(_, known)| known.ends + 1 >= UNKNOWN_PART_ENDS);
-        let mut suspected: Vec<(PartId, usize, Duration)> =
-            suspected.map(|(part, known)| (PartId::clone(part), known.ends, known.first)).collect();
+        let mut suspected: Vec<(Cause, usize, Duration)> =
+            suspected.map(|(part, known)| (Cause::clone(part), known.ends, known.first)).collect();
         suspected.sort_by(|a, b| (b.1, &b.0).cmp(&(a.1, &a.0)));
         suspected.truncate(MAX_DOUBTS);
         let former = std::mem::take(&mut self.doubts);
         for (part, ends, first) in suspected {
             let since = former.get(&part).map(|doubt| doubt.since);
             if since.is_none() {
-                self.changes.push(PartChange::Suspected(part.clone(), ends));
+                self.changes.push(CauseChange::Suspected(part.clone(), ends));
             }
             self.doubts.insert(part, Doubt { first, since: since.unwrap_or(now) });
         }
     }
 
     /// Returns what speaks against a part that is not held back yet.
-    pub(super) fn evidence_against(&self, part: &PartId, now: Duration) -> Option<PartEvidence> {
+    pub(super) fn evidence_against(&self, part: &Cause, now: Duration) -> Option<CauseEvidence> {
         let evidence = self.gather(None, now);
         let known = evidence.get(part)?;
-        let ends = self.recent_ends(now).filter(|end| {
-            known.sound_at.is_none_or(|at| at < end.at)
-                && end.suspects.iter().any(|suspect| suspect.parts.contains(part))
-        });
+        let ends = self
+            .recent_ends(now)
+            .filter(|end| known.sound_at.is_none_or(|at| at < end.at) && end.is_under(part));
         let ends = ends.map(|end| (end.instance.clone(), end.at, end.suspects.len()));
-        Some(PartEvidence {
-            part: part.clone(),
+        Some(CauseEvidence {
+            cause: part.clone(),
             ends: ends.collect(),
             requests: known.requests.len(),
             others: known.others,
@@ -277,50 +288,52 @@
     /// Gathers what speaks against each part, as if `open` were not held back.
     pub(super) fn gather(
         &self,
-        open: Option<&PartId>,
+        open: Option<&Cause>,
         now: Duration,
-    ) -> FastMap<&PartId, Evidence<'_>> {
+    ) -> FastMap<&Cause, Evidence<'_>> {
         self.gather_before(open, now, now)
     }
 
     /// Gathers the same of the ends until a time.
     pub(super) fn gather_before(
         &self,
-        open: Option<&PartId>,
+        open: Option<&Cause>,
         until: Duration,
         now: Duration,
-    ) -> FastMap<&PartId, Evidence<'_>> {
-        let mut evidence: FastMap<&PartId, Evidence<'_>> = FastMap::default();
+    ) -> FastMap<&Cause, Evidence<'_>> {
+        let mut evidence: FastMap<&Cause, Evidence<'_>> = FastMap::default();
         let mut unexplained = 0;
-        for end in self.recent_ends(now).filter(|end| end.at <= until) {
-            let is_explained = end
-                .suspects
-                .iter()
-                .any(|suspect| self.held_of(suspect).any(|held| Some(&held.part) != open));
+        let holds_parts = self.held.keys().any(|cause| !cause.is_request());
+        for (index, end) in self.indexed_ends(now).filter(|(_, end)| end.at <= until) {
+            let is_explained = end.suspects.iter().any(|suspect| {
+                let mut held = self.held_of(suspect).filter(|held| !held.cause.is_request());
+                held.any(|held| Some(&held.cause) != open)
+            });
             if is_explained {
                 continue;
             }
             unexplained += 1;
             // Other VMs may not have told the suspect yet that explains this end.
             let may_be_explained = end.at + DOUBT_TERM > now;
-            let mut counted: FastSet<&PartId> = FastSet::default();
+            let mut counted: FastSet<&Cause> = FastSet::default();
             for suspect in &end.suspects {
-                for (place, part) in suspect.parts.iter().enumerate() {
+                for (place, part) in suspect.part_causes().enumerate() {
                     let known = evidence.entry(part).or_insert_with(|| Evidence {
                         first: Duration::MAX,
                         sound_at: self.sound_at(part),
                         ..Evidence::default()
                     });
-                    let is_known = known.sound_at.is_some() || !self.held.is_empty();
+                    let is_known = known.sound_at.is_some() || holds_parts;
                     let is_sound = known.sound_at.is_some_and(|at| at >= end.at);
                     if is_sound || (is_known && may_be_explained) {
                         continue;
                     }
                     if counted.insert(part) {
                         known.ends += 1;
+                        known.set.insert(index);
                         known.times.push(end.at);
                     }
-                    known.requests.insert(suspect.request);
+                    known.requests.insert(suspect.digest);
                     known.workspaces.insert(&suspect.workspace);
                     known.first = known.first.min(end.at);
                     known.last = known.last.max(end.at);
@@ -328,6 +341,9 @@
                 }
             }
         }
+        // A request is more specific than its parts, and blamed before them.
+        let conclusive = self.conclusive_requests(now);
+        evidence.retain(|_, known| !conclusive.iter().any(|ends| known.set.is_within(*ends)));
         for known in evidence.values_mut() {
             known.others = unexplained - known.ends;
         }
--- a/crates/decide/src/request/crash_log/holds.rs
+++ b/crates/decide/src/request/crash_log/holds.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::evidence::{UNKNOWN_PART_ENDS, most_suspected};
-use super::{CrashLog, EndpointEnd, PartChange, Prompt};
-use crate::ids::{PartId, WorkspaceId};
+use super::{Cause, CauseChange, CrashLog, RequestContent};
+use crate::ids::WorkspaceId;
 use crate::map::FastSet;
 
 /// How long a VM leaves decisions to the VM it reports to after that one has last told it something,
@@ -14,13 +14,13 @@
 pub(super) const HOLD_TERM: Duration = Duration::from_secs(24 * 3_600);
 
 /// The most parts that are held back at a time; the ones held back first give way.
-pub(super) const MAX_HELD_PARTS: usize = 64;
+pub(super) const MAX_HELD_CAUSES: usize = 64;
 
 /// A part that is held back.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct HeldPart {
+pub struct HeldCause {
     /// The part.
-    pub part: PartId,
+    pub cause: Cause,
     /// The only workspace whose requests are held back; `None` for all.
     pub workspace: Option<WorkspaceId>,
     /// When the first and the last endpoint ended that count against the part.
@@ -38,7 +38,7 @@
 
 #[derive(Debug, Clone)]
 pub(super) struct Hold {
-    pub(super) held: HeldPart,
+    pub(super) held: HeldCause,
     /// When this VM began to hold the part back.
     pub(super) since: Duration,
     /// Whether the VM that this one reports to holds the part back, too.
@@ -49,32 +49,35 @@
     /// Lets a part go if requests with it were answered since the first end that counts against it.
     ///
     /// A part that another VM told this one to hold back is let go by that VM.
-    pub(super) fn release_sound(&mut self, part: &PartId, began: Duration, now: Duration) {
+    pub(super) fn release_sound(&mut self, cause: &Cause, began: Duration, now: Duration) {
         let is_cleared = self
             .held
-            .get(part)
+            .get(cause)
             .is_some_and(|hold| hold.held.first < began && (self.leads || !hold.told));
         if is_cleared {
-            self.release(part, "a request with it was answered");
+            self.release(cause, "a request with it was answered");
             self.evaluate(now);
         }
     }
 
-    pub(super) fn release(&mut self, part: &PartId, why: &'static str) {
-        if let Some(hold) = self.held.remove(part) {
-            self.changes.push(PartChange::Released(hold.held, why));
+    pub(super) fn release(&mut self, cause: &Cause, why: &'static str) {
+        if self.open_trial.as_ref().is_some_and(|(tried, _)| tried == cause) {
+            self.open_trial = None;
+        }
+        if let Some(hold) = self.held.remove(cause) {
+            self.changes.push(CauseChange::Released(hold.held, why));
         }
     }
 
     /// Returns the parts that are held back.
-    pub fn held(&self) -> Vec<HeldPart> {
+    pub fn held(&self) -> Vec<HeldCause> {
         self.held.values().map(|hold| hold.held.clone()).collect()
     }
 
     /// Adopts a part that another VM holds back and that reports to this one, unless requests with it
     /// were answered since.
-    pub fn adopt(&mut self, held: HeldPart, now: Duration) {
-        if self.sound_at(&held.part).is_none_or(|at| at <= held.first) {
+    pub fn adopt(&mut self, held: HeldCause, now: Duration) {
+        if self.sound_at(&held.cause).is_none_or(|at| at <= held.first) {
             self.hold(held, false, now);
         }
     }
@@ -84,19 +87,19 @@
     /// A part that it does not hold back is let go, also one that this VM held back by itself some
     /// time ago: the other VM has been told the evidence, and what speaks against it. A leader ignores
     /// this, since it only reports to itself.
-    pub fn on_told(&mut self, told: Vec<HeldPart>, now: Duration) {
+    pub fn on_told(&mut self, told: Vec<HeldCause>, now: Duration) {
         if self.leads {
             return;
         }
         self.last_told = Some(now);
-        let parts: FastSet<PartId> = told.iter().map(|held| held.part.clone()).collect();
-        let dropped = self.held.iter().filter(|(part, hold)| {
-            !parts.contains(*part) && (hold.told || hold.since + UNCONFIRMED_TERM <= now)
+        let causes: FastSet<Cause> = told.iter().map(|held| held.cause.clone()).collect();
+        let dropped = self.held.iter().filter(|(cause, hold)| {
+            !causes.contains(*cause) && (hold.told || hold.since + UNCONFIRMED_TERM <= now)
         });
-        let dropped: Vec<PartId> = dropped.map(|(part, _)| part.clone()).collect();
-        for part in dropped {
-            self.note_told_sound(part.clone(), now);
-            self.release(&part, "the VM that this one reports to has let it go");
+        let dropped: Vec<Cause> = dropped.map(|(cause, _)| cause.clone()).collect();
+        for cause in dropped {
+            self.note_told_sound(cause.clone(), now);
+            self.release(&cause, "the VM that this one reports to has let it go");
         }
         for held in told {
             self.hold(held, true, now);
@@ -105,40 +108,52 @@
     }
 
     /// Holds a part back, or updates what is known of one that is.
-    pub(super) fn hold(&mut self, held: HeldPart, told: bool, now: Duration) {
-        self.doubts.remove(&held.part);
-        if let Some(known) = self.held.get_mut(&held.part) {
+    pub(super) fn hold(&mut self, held: HeldCause, told: bool, now: Duration) {
+        self.doubts.remove(&held.cause);
+        if let Some(known) = self.held.get_mut(&held.cause) {
             known.told |= told;
             known.held.first = known.held.first.min(held.first);
             known.held.last = known.held.last.max(held.last);
             known.held.ends = known.held.ends.max(held.ends);
             known.held.trials = known.held.trials.max(held.trials);
+            let is_confirmed = known.held.weak && !held.weak;
             known.held.weak &= held.weak;
+            if is_confirmed {
+                self.changes.push(CauseChange::Held(known.held.clone()));
+            }
             if known.held.workspace.is_some() && known.held.workspace != held.workspace {
                 known.held.workspace = None;
-                self.changes.push(PartChange::Held(known.held.clone()));
+                self.changes.push(CauseChange::Held(known.held.clone()));
             }
             return;
         }
         // Another VM may not have let it go yet.
         let mut strong = self.held.values().filter(|hold| !hold.held.weak);
-        if held.weak && strong.any(|hold| self.explains(&hold.held.part, &held.part, now)) {
+        if held.weak && strong.any(|hold| self.explains(&hold.held.cause, &held.cause, now)) {
             return;
         }
-        if self.held.len() >= MAX_HELD_PARTS
-            && let Some((oldest, _)) = self.held.iter().min_by_key(|(_, hold)| hold.held.last)
+        let like = self.held.iter();
+        let like = like.filter(|(cause, _)| cause.is_request() == held.cause.is_request());
+        let rank = |held: &HeldCause| (held.cause.is_request() && !held.weak, held.last);
+        let (count, least) = (like.clone().count(), like.min_by_key(|(_, hold)| rank(&hold.held)));
+        if count >= MAX_HELD_CAUSES
+            && let Some((least, hold)) = least
         {
-            let oldest = oldest.clone();
-            self.release(&oldest, "too many parts are held back");
+            let least = least.clone();
+            // Requests in question come in numbers when many endpoints end.
+            if held.cause.is_request() && held.ends <= hold.held.ends {
+                return;
+            }
+            self.release(&least, "too many causes are held back");
         }
-        self.changes.push(PartChange::Held(held.clone()));
-        self.held.insert(held.part.clone(), Hold { held, since: now, told });
+        self.changes.push(CauseChange::Held(held.clone()));
+        self.held.insert(held.cause.clone(), Hold { held, since: now, told });
     }
 
     /// Lets the parts go that may be held back by chance, if another one explains the ends.
     pub(super) fn release_explained(&mut self, now: Duration) {
-        while let Some((part, better)) = self.find_better(now) {
-            self.release(&part, "another part explains the ends");
+        while let Some((cause, better)) = self.find_better(now) {
+            self.release(&cause, "another cause explains the ends");
             if let Some(better) = better {
                 self.hold(better, false, now);
             }
@@ -146,12 +161,15 @@
     }
 
     /// Returns the parts of a prompt that are held back.
-    pub(super) fn held_of<'a>(&'a self, prompt: &'a Prompt) -> impl Iterator<Item = &'a HeldPart> {
-        prompt.parts.iter().filter_map(|part| self.held.get(part)).map(|hold| &hold.held)
+    pub(super) fn held_of<'a>(
+        &'a self,
+        prompt: &'a RequestContent,
+    ) -> impl Iterator<Item = &'a HeldCause> {
+        prompt.causes.iter().filter_map(|cause| self.held.get(cause)).map(|hold| &hold.held)
     }
 
     /// Finds a part that is held back for one workspace and has ended an endpoint for another one.
-    pub(super) fn find_widened(&self, now: Duration) -> Option<HeldPart> {
+    pub(super) fn find_widened(&self, now: Duration) -> Option<HeldCause> {
         let ends = self.recent_ends(now);
         let suspects = ends.flat_map(|end| end.suspects.iter().map(|suspect| (end.at, suspect)));
         let mut held = suspects.flat_map(|(at, suspect)| {
@@ -161,38 +179,41 @@
         let other = held.find(|(workspace, held)| {
             held.workspace.as_ref().is_some_and(|only| only != *workspace)
         });
-        other.map(|(_, held)| HeldPart { workspace: None, ..held.clone() })
+        other.map(|(_, held)| HeldCause { workspace: None, ..held.clone() })
+    }
+
+    /// Returns the parts that may be held back by chance.
+    pub(super) fn weak_parts(&self) -> impl Iterator<Item = &Cause> {
+        let weak = self.held.values().filter(|hold| hold.held.weak);
+        weak.map(|hold| &hold.held.cause).filter(|cause| !cause.is_request())
     }
 
     /// Finds a part that may be held back by chance, while another one was there at all of its ends and at
     /// more; returns the other one, too, if it is not held back yet.
-    pub(super) fn find_better(&self, now: Duration) -> Option<(PartId, Option<HeldPart>)> {
-        let weak = self.held.values().filter(|hold| hold.held.weak).map(|hold| &hold.held.part);
-        let explained = weak.filter_map(|part| {
+    pub(super) fn find_better(&self, now: Duration) -> Option<(Cause, Option<HeldCause>)> {
+        let weak = self.weak_parts();
+        let explained = weak.filter_map(|cause| {
             let mut strong = self.held.values().filter(|hold| !hold.held.weak);
-            if strong.any(|hold| self.explains(&hold.held.part, part, now)) {
-                return Some((part.clone(), None));
+            if strong.any(|hold| self.explains(&hold.held.cause, cause, now)) {
+                return Some((cause.clone(), None));
             }
             if !self.decides(now) {
                 return None;
             }
-            let best = most_suspected(&self.gather(Some(part), now)).filter(|best| !best.weak)?;
-            self.explains(&best.part, part, now).then(|| (part.clone(), Some(best)))
+            let best = most_suspected(&self.gather(Some(cause), now)).filter(|best| !best.weak)?;
+            self.explains(&best.cause, cause, now).then(|| (cause.clone(), Some(best)))
         });
         explained.min_by(|(a, _), (b, _)| a.cmp(b))
     }
 
-    /// Returns whether a part was there at all recent ends of another one that suffice to hold it back, and
-    /// more endpoints ended under it.
-    pub(super) fn explains(&self, part: &PartId, other: &PartId, now: Duration) -> bool {
-        let is_at = |end: &EndpointEnd, part: &PartId| {
-            end.suspects.iter().any(|suspect| suspect.parts.contains(part))
-        };
-        let mut ends = self.recent_ends(now).filter(|end| is_at(end, other));
+    /// Returns whether a cause was there at all recent ends under a part that suffice to hold it back, and
+    /// more endpoints ended under it; a whole request explains as many.
+    pub(super) fn explains(&self, cause: &Cause, other: &Cause, now: Duration) -> bool {
+        let mut ends = self.recent_ends(now).filter(|end| end.is_under(other));
         let known = self.part_ends(other, now);
         known as usize >= UNKNOWN_PART_ENDS
-            && self.part_ends(part, now) > known
-            && ends.all(|end| is_at(end, part))
+            && self.part_ends(cause, now) >= known + u32::from(!cause.is_request())
+            && ends.all(|end| end.is_under(cause))
     }
 
     /// Notes which parts that may be held back by chance have become certain.
@@ -200,18 +221,18 @@
         if !self.decides(now) {
             return;
         }
-        let weak = self.held.values().filter(|hold| hold.held.weak).map(|hold| &hold.held.part);
-        let certain: Vec<PartId> = weak
-            .filter(|part| {
-                let evidence = self.gather(Some(part), now);
-                evidence.get(part).is_some_and(|known| known.is_enough() && !known.is_weak())
+        let weak = self.weak_parts();
+        let certain: Vec<Cause> = weak
+            .filter(|cause| {
+                let evidence = self.gather(Some(cause), now);
+                evidence.get(cause).is_some_and(|known| known.is_enough() && !known.is_weak())
             })
             .cloned()
             .collect();
-        for part in certain {
-            if let Some(hold) = self.held.get_mut(&part) {
+        for cause in certain {
+            if let Some(hold) = self.held.get_mut(&cause) {
                 hold.held.weak = false;
-                self.changes.push(PartChange::Held(hold.held.clone()));
+                self.changes.push(CauseChange::Held(hold.held.clone()));
             }
         }
     }
--- a/crates/decide/src/request/crash_log/mod.rs
+++ b/crates/decide/src/request/crash_log/mod.rs
@@ -28,25 +28,27 @@
 //! After some time, one request is tried with a part, wherever it comes: a VM that has such a request
 //! asks for the trial with its next report, and the leader allows it to the first that asks.
 
+mod cause;
 mod evidence;
 mod holds;
+mod requests;
 mod sound;
 mod trials;
 
 use std::time::Duration;
 
-use crate::ids::{PartId, WorkspaceId};
+use crate::ids::WorkspaceId;
 use crate::map::FastMap;
 use crate::request::availability::EndpointInstance;
-use crate::request::digest::RequestDigest;
 
 use self::evidence::{Doubt, MOMENT};
 use self::holds::{HOLD_TERM, Hold, UNCONFIRMED_TERM};
-use self::sound::SOUND_MEMORY;
+use self::sound::{Answered, SOUND_MEMORY};
 use self::trials::TrialAsk;
 
-pub use self::evidence::PartEvidence;
-pub use self::holds::HeldPart;
+pub use self::cause::{Cause, RequestContent};
+pub use self::evidence::CauseEvidence;
+pub use self::holds::HeldCause;
 pub use self::trials::TRIAL_TERM;
 
 /// How long an endpoint's end is remembered as evidence.
@@ -69,23 +71,10 @@
 const MAX_ENDS: usize = 64;
 
 /// The most suspects of one endpoint's end that are remembered.
-const MAX_SUSPECTS: usize = 64;
+const MAX_SUSPECTS: usize = 256;
 
 /// The most of them that are remembered of one workspace.
-const MAX_WORKSPACE_SUSPECTS: usize = 16;
-
-/// A request, as far as its prompt is concerned.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Prompt {
-    /// A hash of the request's id.
-    pub request: u64,
-    /// The workspace.
-    pub workspace: WorkspaceId,
-    /// The parts of the prompt that other requests may share.
-    pub parts: Vec<PartId>,
-    /// What it asks for; the same for each attempt of its caller.
-    pub digest: RequestDigest,
-}
+const MAX_WORKSPACE_SUSPECTS: usize = 128;
 
 /// The end of an endpoint's process, as one or more VMs saw it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -95,35 +84,42 @@
     /// When a VM first saw it end.
     pub at: Duration,
     /// The suspects: the requests that the endpoint had not been seen to answer.
-    pub suspects: Vec<Prompt>,
+    pub suspects: Vec<RequestContent>,
     /// When requests with parts of the suspects last began to be answered, as far as is known.
-    pub sound: Vec<(PartId, Duration)>,
+    pub sound: Vec<(Cause, Duration)>,
+}
+
+impl EndpointEnd {
+    /// Returns whether a cause was among the suspects.
+    fn is_under(&self, cause: &Cause) -> bool {
+        self.suspects.iter().any(|suspect| suspect.causes.contains(cause))
+    }
 }
 
 /// Whether a request may be sent to endpoints.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PromptCheck {
+pub enum SendCheck {
     /// Nothing speaks against it.
     Open,
     /// It may be sent once, to learn whether a part is sound again.
     Trial,
     /// A part of its prompt is held back.
-    Held(HeldPart),
+    Held(HeldCause),
     /// The request itself has ended this number of endpoints.
     EndedEndpoints(usize),
 }
 
 /// A change at the parts that are held back, for logs.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PartChange {
+pub enum CauseChange {
     /// The part was a suspect when this number of endpoints ended, and needs more evidence.
-    Suspected(PartId, usize),
+    Suspected(Cause, usize),
     /// This VM has found the evidence against a part sufficient.
-    Decided(PartEvidence),
+    Decided(CauseEvidence),
     /// The part is held back from now on, or for all workspaces instead of one.
-    Held(HeldPart),
+    Held(HeldCause),
     /// The part is no longer held back, for this reason.
-    Released(HeldPart, &'static str),
+    Released(HeldCause, &'static str),
 }
 
 /// The ends of endpoints, and the parts that are held back because of them, as one VM knows them.
@@ -132,16 +128,16 @@
     ends: Vec<(u64, EndpointEnd)>,
     last_number: u64,
     /// When requests with a part last began to be answered, as this VM saw it, for each workspace.
-    sound: FastMap<WorkspaceId, FastMap<PartId, Duration>>,
+    sound: FastMap<WorkspaceId, Answered>,
     /// The same, as other VMs told it, for parts of suspects.
-    told_sound: FastMap<PartId, Duration>,
+    told_sound: FastMap<Cause, Duration>,
     /// When the two were last searched for entries that are too old.
     sound_pruned: Duration,
-    held: FastMap<PartId, Hold>,
+    held: FastMap<Cause, Hold>,
     /// The parts that this VM finds in doubt.
-    doubts: FastMap<PartId, Doubt>,
+    doubts: FastMap<Cause, Doubt>,
     /// The same of the VM that this one reports to: when the first endpoint ended that counts.
-    told_doubts: FastMap<PartId, Duration>,
+    told_doubts: FastMap<Cause, Duration>,
     /// When that VM last told something.
     last_told: Option<Duration>,
     /// Whether there is something to report that the VM above waits for.
@@ -149,8 +145,10 @@
     /// The trials that this VM and those that report to it have asked for, oldest first.
     asks: Vec<TrialAsk>,
     /// Until when this VM may try one request with a part.
-    allowed: FastMap<PartId, Duration>,
-    changes: Vec<PartChange>,
+    allowed: FastMap<Cause, Duration>,
+    /// The request that was last tried, and until when its outcome is waited for; only at the leader.
+    open_trial: Option<(Cause, Duration)>,
+    changes: Vec<CauseChange>,
     leads: bool,
 }
 
@@ -158,36 +156,39 @@
     /// Returns whether a request may be sent, for the first time or again.
     ///
     /// ```
-    /// use bamboocourse_decide::{CrashLog, Prompt, PromptCheck, RequestDigest};
-    /// use std::time::Duration;
-    /// let mut log = CrashLog::default();
+    /// use bamboocourse_decide::{CrashLog, RequestContent, RequestDigest, SendCheck};
+    /// let log = CrashLog::default();
     /// let digest = RequestDigest::new("w", "POST", &["h", "/path"], b"body");
-    /// let request =
-    ///     Prompt { request: 1, workspace: "w".into(), parts: vec!["p".into()], digest };
-    /// assert_eq!(log.check(&request, Duration::ZERO), PromptCheck::Open);
+    /// let request = RequestContent::new(1, "w".into(), vec!["p".into()], digest);
+    /// assert_eq!(log.check(&request), SendCheck::Open);
     /// ```
-    pub fn check(&mut self, request: &Prompt, now: Duration) -> PromptCheck {
+    pub fn check(&self, request: &RequestContent) -> SendCheck {
         let ends = self.request_ends(request.request);
         if ends >= MAX_SHARED_ENDS || self.own_ends(request.request) >= MAX_REQUEST_ENDS {
-            return PromptCheck::EndedEndpoints(ends);
+            return SendCheck::EndedEndpoints(ends);
         }
         if self.held.is_empty() {
-            return PromptCheck::Open;
+            return SendCheck::Open;
         }
-        for part in &request.parts {
-            let Some(hold) = self.held.get(part) else { continue };
-            if hold.held.workspace.as_ref().is_some_and(|only| *only != request.workspace) {
-                continue;
-            }
-            let held = hold.held.clone();
-            let is_allowed =
-                |log: &mut Self| log.allowed.remove(part).is_some_and(|until| now < until);
-            if ends == 0 && (self.take_trial(part, now) || is_allowed(self)) {
-                return PromptCheck::Trial;
-            }
-            return PromptCheck::Held(held);
+        let is_for = |held: &HeldCause| {
+            held.workspace.as_ref().is_none_or(|only| *only == request.workspace)
+        };
+        let held = self.held_of(request).find(|held| is_for(held));
+        held.map_or(SendCheck::Open, |held| SendCheck::Held(held.clone()))
+    }
+
+    /// Returns whether a new request may be sent, and takes the trial if it may be one.
+    pub fn admit(&mut self, request: &RequestContent, now: Duration) -> SendCheck {
+        let check = self.check(request);
+        let SendCheck::Held(held) = &check else { return check };
+        let cause = &held.cause;
+        let is_allowed =
+            |log: &mut Self| log.allowed.remove(cause).is_some_and(|until| now < until);
+        let is_new = self.request_ends(request.request) == 0;
+        if is_new && (self.take_trial(cause, now) || is_allowed(self)) {
+            return SendCheck::Trial;
         }
-        PromptCheck::Open
+        check
     }
 
     /// Returns how many endpoints ended while they had this request and had not answered it.
@@ -220,8 +221,8 @@
         if end.at + EVIDENCE_TERM <= now {
             return false;
         }
-        for (part, at) in end.sound.drain(..) {
-            self.note_told_sound(part, at.min(now));
+        for (cause, at) in end.sound.drain(..) {
+            self.note_told_sound(cause, at.min(now));
         }
         let known = self.ends.iter().position(|(_, known)| known.instance == end.instance);
         let index = known.unwrap_or_else(|| {
@@ -244,6 +245,9 @@
             self.last_number += 1;
             *number = self.last_number;
         }
+        if self.open_trial.as_ref().is_some_and(|(cause, _)| self.ends[index].1.is_under(cause)) {
+            self.open_trial = None;
+        }
         if self.ends.len() > MAX_ENDS {
             // The oldest one stays, as it tells for how long endpoints have been ending.
             let mut oldest: Vec<usize> = (0..self.ends.len()).collect();
@@ -275,14 +279,14 @@
     pub fn ends_after(&self, number: u64) -> (Vec<EndpointEnd>, u64) {
         let later = self.ends.iter().filter(|(at, _)| *at > number);
         let later = later.map(|(_, end)| EndpointEnd {
-            sound: self.known_sound(end.suspects.iter().flat_map(|suspect| &suspect.parts)),
+            sound: self.known_sound(end.suspects.iter().flat_map(|suspect| &suspect.causes)),
             ..end.clone()
         });
         (later.collect(), self.last_number)
     }
 
     /// Returns the changes since the last call.
-    pub fn take_changes(&mut self) -> Vec<PartChange> {
+    pub fn take_changes(&mut self) -> Vec<CauseChange> {
         std::mem::take(&mut self.changes)
     }
 
@@ -291,23 +295,25 @@
         self.ends.retain(|(_, end)| now < end.at + EVIDENCE_TERM);
         if now >= self.sound_pruned + SOUND_PRUNE_INTERVAL {
             self.sound_pruned = now;
-            for parts in self.sound.values_mut() {
-                parts.retain(|_, at| now < *at + SOUND_MEMORY);
+            for known in self.sound.values_mut() {
+                known.forget_until(now.saturating_sub(SOUND_MEMORY));
             }
-            self.sound.retain(|_, parts| !parts.is_empty());
+            self.sound.retain(|_, known| known.len() > 0);
             self.told_sound.retain(|_, at| now < *at + SOUND_MEMORY);
         }
         let expired = self.held.iter().filter(|(_, hold)| hold.held.last + HOLD_TERM <= now);
-        let expired: Vec<PartId> = expired.map(|(part, _)| part.clone()).collect();
-        for part in expired {
-            self.release(&part, "its time is over");
+        let expired: Vec<Cause> = expired.map(|(cause, _)| cause.clone()).collect();
+        for cause in expired {
+            self.release(&cause, "its time is over");
         }
         if self.ends.is_empty() {
             self.doubts.clear();
         }
         // Time alone may decide: VMs that know nothing say nothing.
-        if !self.doubts.is_empty() || self.held.values().any(|hold| hold.held.weak) {
+        if !self.doubts.is_empty() || self.weak_parts().next().is_some() {
             self.evaluate(now);
+        } else if self.held.values().any(|hold| hold.held.weak) {
+            self.evaluate_requests(now);
         }
         self.drop_old_asks(now);
         self.allowed.retain(|_, until| now < *until);
@@ -315,7 +321,7 @@
 
     /// Returns how many ends, parts of answered requests and held parts are remembered.
     pub fn sizes(&self) -> (usize, usize, usize) {
-        let sound = self.sound.values().map(FastMap::len).sum::<usize>() + self.told_sound.len();
+        let sound = self.sound.values().map(Answered::len).sum::<usize>() + self.told_sound.len();
         (self.ends.len(), sound, self.held.len())
     }
 }
--- a/crates/decide/src/request/digest.rs
+++ b/crates/decide/src/request/digest.rs
@@ -7,7 +7,7 @@
 /// The length of a digest, in bytes.
 const DIGEST_BYTES: usize = 16;
 
-/// A digest of a request's caller, method, path with its query, and body.
+/// A digest of a request's caller, method, path with its query, prompt and body.
 ///
 /// Requests of two workspaces never share one: nobody can find a request whose digest is that of
 /// another caller's.
@@ -15,7 +15,7 @@
 pub struct RequestDigest([u8; DIGEST_BYTES]);
 
 impl RequestDigest {
-    /// Returns the digest of a request for `target`, which is the host, path and query.
+    /// Returns the digest of a request with these `fields`: what it asks for, besides its body.
     ///
     /// ```
     /// use bamboocourse_decide::RequestDigest;
@@ -23,9 +23,9 @@
     /// assert_eq!(digest, RequestDigest::new("desk", "GET", &["h", "/a?b"], b""));
     /// assert_ne!(digest, RequestDigest::new("bench", "GET", &["h", "/a?b"], b""));
     /// ```
-    pub fn new(workspace: &str, method: &str, target: &[&str], body: &[u8]) -> Self {
+    pub fn new(workspace: &str, method: &str, fields: &[&str], body: &[u8]) -> Self {
         let mut hash = Sha256::new();
-        let fields = [workspace, method].into_iter().chain(target.iter().copied());
+        let fields = [workspace, method].into_iter().chain(fields.iter().copied());
         for field in fields.map(str::as_bytes).chain([body]) {
             // Lengths keep fields apart.
             hash.update((field.len() as u64).to_le_bytes());
@@ -46,6 +46,11 @@
         bytes.try_into().ok().map(Self)
     }
 
+    /// Reads the hexadecimal form that `Display` writes; `None` if the text has another form.
+    pub fn parse(text: &str) -> Option<Self> {
+        Self::from_bytes(&hex::decode(text).ok()?)
+    }
+
     /// Returns the digest's bytes.
     pub fn as_bytes(&self) -> &[u8] {
         &self.0
--- a/crates/decide/src/request/dispatch.rs
+++ b/crates/decide/src/request/dispatch.rs
@@ -303,6 +303,18 @@
         ready.count()
     }
 
+    /// Returns whether a service can lose one endpoint: another one takes requests, or it has no other.
+    pub fn has_spare(&self, service: &ServiceId, now: Duration) -> bool {
+        let names = self.services.get(service).into_iter().flatten();
+        let listed = names.filter_map(|name| Some((name, self.endpoints.get(name)?)));
+        let usable = listed.clone().filter(|(name, endpoint)| {
+            let checked = self.availability(name, endpoint.info.instance, now);
+            endpoint.info.ready && endpoint.paused_until <= now && checked == Availability::Open
+        });
+        let usable = usable.count();
+        usable > 1 || usable == listed.count()
+    }
+
     /// Returns whether an instance of an endpoint may be sent to now.
     pub fn availability(&self, name: &EndpointId, instance: u64, now: Duration) -> Availability {
         let listed = self.endpoints.get(name).map(|endpoint| &endpoint.info);
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    CrashLog, EndpointEnd, PartId, Prompt, PromptCheck, RequestDigest, TRIAL_TERM, VmId,
+    Cause, CrashLog, EndpointEnd, RequestContent, RequestDigest, SendCheck, TRIAL_TERM, VmId,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -48,7 +48,7 @@
 /// A request with the part, and the VM where it waits for the leader's word.
 pub(crate) struct Waiting {
     pub(crate) vm: usize,
-    pub(crate) request: Prompt,
+    pub(crate) request: RequestContent,
     pub(crate) until: Duration,
 }
 
@@ -140,12 +140,12 @@
         let end = EndpointEnd {
             instance: (format!("e{number}").into(), 1),
             at: self.now,
-            suspects: vec![Prompt {
-                request: number,
+            suspects: vec![RequestContent::new(
+                number,
                 workspace,
                 parts,
-                digest: RequestDigest::of_id(number),
-            }],
+                RequestDigest::of_id(number),
+            )],
             sound: vec![("first".into(), self.now)],
         };
         self.end(vm, end);
@@ -182,9 +182,9 @@
     }
 
     /// A VM sees a request being answered since a time.
-    pub(crate) fn answer(&mut self, vm: usize, request: &Prompt, began: Duration) {
+    pub(crate) fn answer(&mut self, vm: usize, request: &RequestContent, began: Duration) {
         let now = self.now;
-        self.vms[vm].log.on_sound(&request.workspace, &request.parts, began, now);
+        self.vms[vm].log.on_sound(&request.workspace, &request.causes, began, now);
         self.pass_news(vm);
     }
 
@@ -252,7 +252,7 @@
         let log = &mut self.vms[upper].log;
         is_new |= !asked.is_empty();
         let allowed = asked.into_iter().filter(|part| log.on_trial_ask(part, &name, now));
-        let allowed: Vec<PartId> = allowed.collect();
+        let allowed: Vec<Cause> = allowed.collect();
         let (held, doubts) = (log.held(), log.doubts());
         let changed = told_parts(log) != before;
         is_new |= log.take_news();
@@ -271,7 +271,7 @@
     }
 
     /// A VM is told that it may try one request; it passes that on to the one that asked it.
-    pub(crate) fn allow(&mut self, vm: usize, part: &PartId) {
+    pub(crate) fn allow(&mut self, vm: usize, part: &Cause) {
         let now = self.now;
         if let Some(member) = self.vms[vm].log.on_trial_allowed(part, now) {
             let member = member.trim_start_matches("vm").parse().expect("a VM's number");
@@ -283,7 +283,7 @@
     pub(crate) fn request(&mut self, vm: usize, number: u64) {
         let parts = vec!["first".into(), BAD.into()];
         let digest = RequestDigest::of_id(number);
-        let request = Prompt { request: number, workspace: "w5".into(), parts, digest };
+        let request = RequestContent::new(number, "w5".into(), parts, digest);
         self.waiting.push(Waiting { vm, request, until: self.now + TRIAL_TERM });
         self.check_waiting();
     }
@@ -293,25 +293,25 @@
         let now = self.now;
         for Waiting { vm, request, until } in std::mem::take(&mut self.waiting) {
             let log = &mut self.vms[vm].log;
-            match log.check(&request, now) {
-                PromptCheck::Held(held) => {
+            match log.admit(&request, now) {
+                SendCheck::Held(held) => {
                     let known = log.asked_trials(now).len();
-                    if now < until && log.ask_trial(&held.part, request.request, now) {
+                    if now < until && log.ask_trial(&held.cause, request.request, now) {
                         if log.asked_trials(now).len() > known {
                             self.hurry(vm);
                         }
                         self.waiting.push(Waiting { vm, request, until });
                     }
                 }
-                PromptCheck::Trial => {
+                SendCheck::Trial => {
                     self.trials.push(now);
                     if self.answers {
-                        log.on_sound(&request.workspace, &request.parts, now, now);
+                        log.on_sound(&request.workspace, &request.causes, now, now);
                     } else {
                         self.crash(vm, request.request);
                     }
                 }
-                PromptCheck::Open | PromptCheck::EndedEndpoints(_) => {}
+                SendCheck::Open | SendCheck::EndedEndpoints(_) => {}
             }
         }
     }
@@ -363,9 +363,9 @@
 }
 
 /// Returns what a VM tells others about parts as soon as it changes.
-fn told_parts(log: &CrashLog) -> (Vec<PartId>, Vec<PartId>) {
-    let mut held: Vec<PartId> = log.held().into_iter().map(|held| held.part).collect();
-    let mut doubts: Vec<PartId> = log.doubts().into_iter().map(|(part, _)| part).collect();
+fn told_parts(log: &CrashLog) -> (Vec<Cause>, Vec<Cause>) {
+    let mut held: Vec<Cause> = log.held().into_iter().map(|held| held.cause).collect();
+    let mut doubts: Vec<Cause> = log.doubts().into_iter().map(|(part, _)| part).collect();
     held.sort();
     doubts.sort();
     (held, doubts)
--- a/crates/decide/tests/crash_fleet.rs
+++ b/crates/decide/tests/crash_fleet.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use bamboocourse_decide::{Prompt, PromptCheck, RequestDigest, TRIAL_TERM};
+use bamboocourse_decide::{RequestContent, RequestDigest, SendCheck, TRIAL_TERM};
 use rand::RngExt;
 
 use common::{BAD, Fleet, LEADER_GAP, RELAY_ASK_INTERVAL, RELAY_GAP, STEP, Vm};
@@ -19,9 +19,8 @@
     /// Returns whether a VM sends no requests with the bad part.
     fn holds(&mut self, vm: usize) -> bool {
         let digest = RequestDigest::of_id(999);
-        let request =
-            Prompt { request: 999, workspace: "w5".into(), parts: vec![BAD.into()], digest };
-        matches!(self.vms[vm].log.check(&request, self.now), PromptCheck::Held(_))
+        let request = RequestContent::new(999, "w5".into(), vec![BAD.into()], digest);
+        matches!(self.vms[vm].log.admit(&request, self.now), SendCheck::Held(_))
     }
 
     /// Returns how long it takes until all VMs that `counts` hold the part back.
--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    CrashLog, EVIDENCE_TERM, EndpointEnd, HeldPart, PartChange, PartId, Prompt, PromptCheck,
-    RequestDigest,
+    Cause, CauseChange, CrashLog, EVIDENCE_TERM, EndpointEnd, HeldCause, PartId, RequestContent,
+    RequestDigest, SendCheck,
 };
 use proptest::prelude::*;
 use rand::rngs::StdRng;
@@ -29,13 +29,13 @@
 }
 
 /// Returns a request of the workspace `w` with these parts.
-fn prompt(request: u64, parts: &[&str]) -> Prompt {
+fn prompt(request: u64, parts: &[&str]) -> RequestContent {
     let parts = parts.iter().map(PartId::new).collect();
-    Prompt { request, workspace: "w".into(), parts, digest: RequestDigest::of_id(request) }
+    RequestContent::new(request, "w".into(), parts, RequestDigest::of_id(request))
 }
 
 /// Returns the end of an endpoint under these requests.
-fn end(endpoint: usize, at: f64, suspects: &[Prompt]) -> EndpointEnd {
+fn end(endpoint: usize, at: f64, suspects: &[RequestContent]) -> EndpointEnd {
     EndpointEnd {
         instance: (format!("e{endpoint}").into(), 1),
         at: seconds(at),
@@ -45,20 +45,21 @@
 }
 
 /// Records that an endpoint ended under these requests.
-fn add(log: &mut CrashLog, endpoint: usize, at: f64, suspects: &[Prompt]) {
+fn add(log: &mut CrashLog, endpoint: usize, at: f64, suspects: &[RequestContent]) {
     log.on_end(end(endpoint, at, suspects), seconds(at));
 }
 
 /// Returns the parts that a log holds back.
 fn held(log: &CrashLog) -> Vec<String> {
-    let mut held: Vec<String> = log.held().into_iter().map(|held| held.part.into()).collect();
+    let held = log.held().into_iter().filter(|held| !held.cause.is_request());
+    let mut held: Vec<String> = held.map(|held| held.cause.to_string()).collect();
     held.sort();
     held
 }
 
 /// Returns whether a request with these parts may be sent.
 fn is_open(log: &mut CrashLog, parts: &[&str], at: f64) -> bool {
-    log.check(&prompt(u64::MAX, parts), seconds(at)) == PromptCheck::Open
+    log.admit(&prompt(u64::MAX, parts), seconds(at)) == SendCheck::Open
 }
 
 #[test]
@@ -86,7 +87,7 @@
     }
     assert_eq!(held(&log), [BAD]);
     assert!(is_open(&mut log, &["first", "rare"], 1.0));
-    assert!(matches!(log.check(&innocent, seconds(1.0)), PromptCheck::EndedEndpoints(4)));
+    assert!(matches!(log.admit(&innocent, seconds(1.0)), SendCheck::EndedEndpoints(4)));
 }
 
 // The first three requests that crash endpoints have another part in common, which as much speaks against.
@@ -104,8 +105,8 @@
     assert_eq!(held(&log), [BAD]);
     assert!(is_open(&mut log, &["first", "rare"], 1.7));
     // Others have not let it go yet.
-    let rare = HeldPart {
-        part: "rare".into(),
+    let rare = HeldCause {
+        cause: "rare".into(),
         workspace: None,
         first: Duration::ZERO,
         last: seconds(0.6),
@@ -117,7 +118,7 @@
     log.on_told(vec![rare, bad], seconds(1.8));
     assert_eq!(held(&log), [BAD]);
     let changes = log.take_changes();
-    let is_released = |change: &PartChange| matches!(change, PartChange::Released(held, _) if held.part == "rare");
+    let is_released = |change: &CauseChange| matches!(change, CauseChange::Released(held, _) if held.cause == "rare".into());
     assert!(changes.iter().any(is_released), "{changes:?}");
 }
 
@@ -181,9 +182,9 @@
         };
         add(&mut log, number as usize, 1.0 + number as f64 / 50.0, &suspects);
     }
-    assert_eq!(log.check(&request, seconds(1.2)), PromptCheck::Open);
+    assert_eq!(log.admit(&request, seconds(1.2)), SendCheck::Open);
     add(&mut log, 7, 1.3, std::slice::from_ref(&request));
-    assert_eq!(log.check(&request, seconds(1.4)), PromptCheck::EndedEndpoints(3));
+    assert_eq!(log.admit(&request, seconds(1.4)), SendCheck::EndedEndpoints(3));
 }
 
 // review/2: a quarter of the endpoints ends twice, 50 ms apart, before any request was answered, and
@@ -243,7 +244,7 @@
         add(&mut log, number as usize, number as f64 * GAP, &[prompt(number, &[BAD])]);
     }
     assert!(log.held()[0].recheck_after(seconds(0.6)).is_some());
-    assert_eq!(log.check(&prompt(3, &[BAD]), seconds(2.2)), PromptCheck::Trial);
+    assert_eq!(log.admit(&prompt(3, &[BAD]), seconds(2.2)), SendCheck::Trial);
     add(&mut log, 3, 2.3, &[prompt(3, &[BAD])]);
     log.prune(seconds(2.7));
     assert_eq!(log.held()[0].recheck_after(seconds(2.7)), None);
@@ -285,8 +286,8 @@
     times.extend(tried.iter().map(|at| (*at, true)));
     times.sort_by(|a, b| a.0.total_cmp(&b.0));
     for (number, (at, is_tried)) in times.into_iter().enumerate() {
-        let check = log.check(&prompt(100 + number as u64, &[part]), seconds(at));
-        assert_eq!(check == PromptCheck::Trial, is_tried, "at {at} s: {check:?}");
+        let check = log.admit(&prompt(100 + number as u64, &[part]), seconds(at));
+        assert_eq!(check == SendCheck::Trial, is_tried, "at {at} s: {check:?}");
     }
 }
 
@@ -311,7 +312,7 @@
     let mut ends = 0;
     for step in 0..200_000u64 {
         let (request, at) = (prompt(step, &[BAD]), step as f64 * GAP);
-        if !matches!(log.check(&request, seconds(at)), PromptCheck::Open | PromptCheck::Trial) {
+        if !matches!(log.admit(&request, seconds(at)), SendCheck::Open | SendCheck::Trial) {
             continue;
         }
         add(&mut log, step as usize, at, &[request]);
@@ -361,7 +362,7 @@
     log.on_sound(&"w".into(), &["rare".into()], seconds(2.5), seconds(3.0));
     assert!(held(&log).is_empty());
     let changes = log.take_changes();
-    assert!(matches!(changes.last(), Some(PartChange::Released(..))), "{changes:?}");
+    assert!(matches!(changes.last(), Some(CauseChange::Released(..))), "{changes:?}");
 }
 
 // A caller that crashes endpoints together with a part of others must not take it from them.
@@ -371,31 +372,31 @@
     for number in 0..3 {
         add(&mut log, number as usize, number as f64, &[prompt(number, &["shared"])]);
     }
-    let other = Prompt { workspace: "v".into(), ..prompt(7, &["shared"]) };
+    let other = RequestContent { workspace: "v".into(), ..prompt(7, &["shared"]) };
     assert!(!is_open(&mut log, &["shared"], 3.0));
-    assert_eq!(log.check(&other, seconds(3.0)), PromptCheck::Open);
+    assert_eq!(log.admit(&other, seconds(3.0)), SendCheck::Open);
     add(&mut log, 3, 4.0, std::slice::from_ref(&other));
     assert!(matches!(
-        log.check(&other, seconds(5.0)),
-        PromptCheck::EndedEndpoints(_) | PromptCheck::Held(_)
+        log.admit(&other, seconds(5.0)),
+        SendCheck::EndedEndpoints(_) | SendCheck::Held(_)
     ));
-    let new = Prompt { request: 8, digest: RequestDigest::of_id(8), ..other };
-    assert!(matches!(log.check(&new, seconds(5.0)), PromptCheck::Held(_)));
+    let new = RequestContent { workspace: "v".into(), ..prompt(8, &["shared"]) };
+    assert!(matches!(log.admit(&new, seconds(5.0)), SendCheck::Held(_)));
 }
 
 #[test]
 fn ends_before_a_part_was_sound_hold_it_back_for_nobody() {
     let mut log = CrashLog::default();
-    let other = Prompt { workspace: "v".into(), ..prompt(90, &["shared"]) };
+    let other = RequestContent { workspace: "v".into(), ..prompt(90, &["shared"]) };
     add(&mut log, 9, 0.5, &[other]);
     log.on_sound(&"v".into(), &["shared".into()], seconds(1.0), seconds(1.5));
     for number in 0..5 {
         add(&mut log, number as usize, 2.0 + number as f64, &[prompt(number, &["shared"])]);
     }
-    let new = Prompt { workspace: "v".into(), ..prompt(91, &["shared"]) };
+    let new = RequestContent { workspace: "v".into(), ..prompt(91, &["shared"]) };
     add(&mut log, 8, 7.5, &[prompt(92, &["other"])]);
     assert!(!is_open(&mut log, &["shared"], 8.0));
-    assert_eq!(log.check(&new, seconds(8.0)), PromptCheck::Open);
+    assert_eq!(log.admit(&new, seconds(8.0)), SendCheck::Open);
 }
 
 #[test]
@@ -405,10 +406,11 @@
     for number in 0..20_000u64 {
         let at = 1.0 + number as f64 / 10_000.0;
         let parts: Vec<PartId> = (0..16).map(|part| format!("n{number}-{part}").into()).collect();
-        log.on_sound(&"greedy".into(), &parts, seconds(at), seconds(at));
+        let causes: Vec<Cause> = parts.iter().cloned().map(Cause::Part).collect();
+        log.on_sound(&"greedy".into(), &causes, seconds(at), seconds(at));
         if number % 100 == 0 {
             let (workspace, digest) = ("greedy".into(), RequestDigest::of_id(number));
-            let suspect = Prompt { request: number, workspace, parts, digest };
+            let suspect = RequestContent::new(number, workspace, parts, digest);
             add(&mut log, number as usize, at, &vec![suspect; 100]);
         }
     }
@@ -440,8 +442,8 @@
     for second in 3..100_000u32 {
         let at = Duration::from_secs(second.into());
         let request = prompt(u64::from(second) + 10, &[BAD]);
-        assert!(matches!(other.check(&request, at), PromptCheck::Held(_)) || second > 86_000);
-        if leader.check(&request, at) == PromptCheck::Trial {
+        assert!(matches!(other.admit(&request, at), SendCheck::Held(_)) || second > 86_000);
+        if leader.admit(&request, at) == SendCheck::Trial {
             trials.push(second);
             let end = end(second as usize, f64::from(second), &[request]);
             leader.on_end(end, at);
@@ -456,7 +458,7 @@
 fn part_that_turns_sound_is_let_go_everywhere_after_a_trial() {
     let (mut leader, mut other) = leader_and_other_that_hold_back();
     assert!(!is_open(&mut other, &[BAD], 70.0));
-    assert_eq!(leader.check(&prompt(9, &[BAD]), seconds(70.0)), PromptCheck::Trial);
+    assert_eq!(leader.admit(&prompt(9, &[BAD]), seconds(70.0)), SendCheck::Trial);
     assert!(!is_open(&mut leader, &[BAD], 70.0), "one request is tried at a time");
     leader.on_sound(&"w".into(), &[BAD.into()], seconds(70.1), seconds(70.5));
     other.on_told(leader.held(), seconds(71.0));
@@ -466,8 +468,8 @@
 #[test]
 fn new_leader_learns_what_is_held_back_without_new_crashes() {
     let mut relay = CrashLog::default();
-    let told = HeldPart {
-        part: BAD.into(),
+    let told = HeldCause {
+        cause: BAD.into(),
         workspace: None,
         first: seconds(1.0),
         last: seconds(3.0),
@@ -578,7 +580,7 @@
         let mut outcome = Outcome::default();
         // The open requests of each endpoint, with the time at which they began to be answered and
         // end.
-        let mut open: Vec<Vec<(Prompt, f64, f64)>> = vec![Vec::new(); 18];
+        let mut open: Vec<Vec<(RequestContent, f64, f64)>> = vec![Vec::new(); 18];
         let mut instances = vec![0usize; 18];
         let mut next_end = self.end_interval;
         for step in 0..6_000u64 {
@@ -592,16 +594,16 @@
                     parts.push(BAD.to_owned());
                 }
                 let workspace = format!("w{}", self.rng.random_range(0..5));
-                let request = Prompt {
-                    request: step * 2 + number,
-                    workspace: workspace.as_str().into(),
-                    parts: parts.iter().map(PartId::new).collect(),
-                    digest: RequestDigest::of_id(step * 2 + number),
-                };
+                let request = RequestContent::new(
+                    step * 2 + number,
+                    workspace.as_str().into(),
+                    parts.iter().map(PartId::new).collect(),
+                    RequestDigest::of_id(step * 2 + number),
+                );
                 outcome.sound += u32::from(!is_bad);
                 if !matches!(
-                    self.log.check(&request, seconds(now)),
-                    PromptCheck::Open | PromptCheck::Trial
+                    self.log.admit(&request, seconds(now)),
+                    SendCheck::Open | SendCheck::Trial
                 ) {
                     outcome.held_sound += u32::from(!is_bad);
                     continue;
@@ -618,7 +620,7 @@
             let lost = self.rng.random_range(0..18);
             for endpoint in 0..18 {
                 let has_bad = open[endpoint].iter().any(|(request, began, _)| {
-                    *began <= now && request.parts.iter().any(|part| part == BAD)
+                    *began <= now && request.parts().any(|part| part == BAD)
                 });
                 if has_bad || (is_due && endpoint == lost) {
                     outcome.crashes += u32::from(has_bad);
@@ -631,13 +633,13 @@
                 for (request, began, _) in open[endpoint].extract_if(.., |(_, _, end)| *end <= now)
                 {
                     let (began, now) = (seconds(began), seconds(now));
-                    self.log.on_sound(&request.workspace, &request.parts, began, now);
+                    self.log.on_sound(&request.workspace, &request.causes, began, now);
                 }
             }
             if step % 25 == 0 {
                 self.log.prune(seconds(now));
             }
-            outcome.is_held |= self.log.held().iter().any(|held| held.part == BAD);
+            outcome.is_held |= self.log.held().iter().any(|held| held.cause == BAD.into());
         }
         outcome
     }
@@ -646,13 +648,13 @@
         &mut self,
         endpoint: usize,
         now: f64,
-        open: &mut [Vec<(Prompt, f64, f64)>],
+        open: &mut [Vec<(RequestContent, f64, f64)>],
         instances: &mut [usize],
         outcome: &mut Outcome,
     ) {
         let lost = std::mem::take(&mut open[endpoint]);
         let suspects = lost.iter().filter(|(_, began, _)| now < began + 0.3);
-        let suspects: Vec<Prompt> = suspects.map(|(request, ..)| request.clone()).collect();
+        let suspects: Vec<RequestContent> = suspects.map(|(request, ..)| request.clone()).collect();
         let mut ended = end(endpoint, now, &suspects);
         ended.instance.1 = instances[endpoint] as u64;
         instances[endpoint] += 1;
@@ -661,9 +663,9 @@
         }
         // Those that were answered in part go on elsewhere, each once.
         for (request, began, ends) in lost {
-            if began <= now && self.log.check(&request, seconds(now)) == PromptCheck::Open {
+            if began <= now && self.log.admit(&request, seconds(now)) == SendCheck::Open {
                 let other = self.rng.random_range(0..18);
-                let is_bad = request.parts.iter().any(|part| part == BAD);
+                let is_bad = request.parts().any(|part| part == BAD);
                 outcome.count_send(is_bad, now);
                 open[other].push((request, now + 0.03, ends + 0.2));
             }
--- a/crates/decide/tests/crash_patterns.rs
+++ b/crates/decide/tests/crash_patterns.rs
@@ -11,7 +11,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use bamboocourse_decide::{EndpointEnd, PartId, Prompt, PromptCheck, RequestDigest};
+use bamboocourse_decide::{Cause, EndpointEnd, PartId, RequestContent, RequestDigest, SendCheck};
 use rand::RngExt;
 
 use common::{BAD, Fleet, STEP};
@@ -61,7 +61,7 @@
 /// A request that an endpoint has, and the VM that sent it.
 struct Open {
     vm: usize,
-    prompt: Prompt,
+    prompt: RequestContent,
     began: Duration,
     ends: Duration,
     sends: u32,
@@ -91,7 +91,9 @@
     bad_sends: Vec<Duration>,
     sound: usize,
     refused: usize,
-    held: BTreeSet<PartId>,
+    held: BTreeSet<Cause>,
+    /// The part at fault, and the requests that have it.
+    bad: BTreeSet<Cause>,
     next_request: u64,
     due: f64,
 }
@@ -110,6 +112,7 @@
             sound: 0,
             refused: 0,
             held: BTreeSet::new(),
+            bad: if is_bad { BTreeSet::from([BAD.into()]) } else { BTreeSet::new() },
             next_request: 0,
             due: 0.0,
         }
@@ -130,28 +133,33 @@
         }
         self.next_request += 1;
         let workspace = format!("w{}", self.draw(5));
-        let prompt = Prompt {
-            request: self.next_request,
-            workspace: workspace.as_str().into(),
-            parts: parts.iter().map(PartId::new).collect(),
-            digest: RequestDigest::of_id(self.next_request),
-        };
+        let prompt = RequestContent::new(
+            self.next_request,
+            workspace.as_str().into(),
+            parts.iter().map(PartId::new).collect(),
+            RequestDigest::of_id(self.next_request),
+        );
         self.sound += usize::from(!(has_part && self.is_bad));
+        if has_part && self.is_bad {
+            self.bad.insert(Cause::Request(prompt.digest));
+        }
         self.send(vm, prompt, 1);
     }
 
-    fn send(&mut self, vm: usize, prompt: Prompt, sends: u32) {
+    fn send(&mut self, vm: usize, prompt: RequestContent, sends: u32) {
         let now = self.fleet.now;
-        let is_bad = self.is_bad && prompt.parts.iter().any(|part| *part == BAD);
-        let check = self.fleet.vms[vm].log.check(&prompt, now);
-        if let PromptCheck::Held(held) = check {
+        let is_bad = self.is_bad && prompt.parts().any(|part| *part == BAD);
+        let check = self.fleet.vms[vm].log.admit(&prompt, now);
+        if let SendCheck::Held(held) = check {
             if !is_bad {
                 self.refused += 1;
-                self.held.insert(held.part.clone());
+                if !held.cause.is_request() || !held.weak {
+                    self.held.insert(held.cause.clone());
+                }
             }
             return;
         }
-        if matches!(check, PromptCheck::EndedEndpoints(_)) {
+        if matches!(check, SendCheck::EndedEndpoints(_)) {
             return;
         }
         let up: Vec<usize> =
@@ -201,9 +209,10 @@
         }
         for at in 0..self.endpoints.len() {
             let has_bad = self.is_bad
-                && self.endpoints[at].open.iter().any(|open| {
-                    open.began <= now && open.prompt.parts.iter().any(|part| *part == BAD)
-                });
+                && self.endpoints[at]
+                    .open
+                    .iter()
+                    .any(|open| open.began <= now && open.prompt.parts().any(|part| *part == BAD));
             if has_bad {
                 self.bad_ends.push(now);
                 self.end(at);
@@ -220,8 +229,11 @@
             self.endpoints[at].open = open;
         }
         for vm in &self.fleet.vms {
-            let held = vm.log.held().into_iter().map(|held| held.part);
-            self.held.extend(held.filter(|part| !(self.is_bad && *part == BAD)));
+            // A request that lost two endpoints may be held back until it is tried.
+            let held = vm.log.held().into_iter();
+            let held = held.filter(|held| !held.cause.is_request() || !held.weak);
+            let held = held.map(|held| held.cause);
+            self.held.extend(held.filter(|cause| !self.bad.contains(cause)));
         }
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,6 @@
     BoxFuture, CallerRequest, EndpointRequest, EventSpan, ListedEndpoint, OrderRequest, Protocol,
     ResponseHead, Store, StoreError, StoreRow, StoreRows, Table, WriteOutcome,
 };
-pub use process::coordinator::row::{HeldPartRow, LeaderRow};
+pub use process::coordinator::row::{HeldRow, LeaderRow};
 pub use process::settings::{Bounds, EntrySettings};
 pub use process::vm::EntryProcess;
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -17,9 +17,9 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    ConfigStamp, DomainId, EndpointId, FastMap, Fence, Handover, Incarnation, Lease, LeaseEvent,
-    LeaseTerms, LimitNumber, OrderReply, PartId, PermitRole, QuietPeriod, Relay, RelayAppointer,
-    Roster, StoreEra, StorePosition, VmId,
+    Cause, ConfigStamp, DomainId, EndpointId, FastMap, Fence, Handover, Incarnation, Lease,
+    LeaseEvent, LeaseTerms, LimitNumber, OrderReply, PermitRole, QuietPeriod, Relay,
+    RelayAppointer, Roster, StoreEra, StorePosition, VmId,
 };
 use log::info;
 use tokio::sync::{mpsc, watch};
@@ -30,7 +30,7 @@
 use crate::edge::{Protocol, Store, StoreError, StoreRows, Table, WriteOutcome};
 use crate::process::active_fleet::ActiveFleet;
 use crate::process::asks::{permit_grant, permit_needs};
-use crate::process::crashes::{Crashes, ToldParts};
+use crate::process::crashes::{Crashes, ToldParts, push_trial};
 use crate::process::domain_words::DomainWords;
 use crate::process::endpoint_list::{EndpointList, ListEntry, ListUpdate};
 use crate::process::freshness::Freshness;
@@ -89,7 +89,7 @@
     /// This VM, a relay, got permits for endpoints that name limits.
     PermitsCame,
     /// A VM that reports to this relay may try one request with a part of prompts.
-    TrialAllowed(VmId, PartId),
+    TrialAllowed(VmId, Cause),
     /// A relay answered this VM's report.
     RelayAlive,
     /// The events of a message of the leader or a relay precede this one.
@@ -348,7 +348,7 @@
             CoordinatorEvent::PermitAsked(peer, ask, _open) => {
                 self.answer_relay_ask(peer, &ask, now)
             }
-            CoordinatorEvent::TrialAllowed(vm, part) => self.pass_on_trial(&vm, &part),
+            CoordinatorEvent::TrialAllowed(vm, cause) => self.pass_on_trial(&vm, &cause),
             CoordinatorEvent::RelayAlive => self.leader_heard = now,
             CoordinatorEvent::LinkMessage(open) => drop(open),
             CoordinatorEvent::StoreLost => {
@@ -776,12 +776,12 @@
         }
     }
 
-    /// Tells a member that it may try one request with a part of prompts.
-    fn pass_on_trial(&self, vm: &VmId, part: &PartId) {
+    /// Tells a member that it may try one request that is held back.
+    fn pass_on_trial(&self, vm: &VmId, cause: &Cause) {
         let member = |peer: &&Peer| peer.position == Some(Position::Member) && peer.vm == *vm;
         if let Some(peer) = self.peers.values().find(member) {
-            let (role, trials) = (Role::Relay.into(), vec![part.to_string()]);
-            let message = LeadMessage { role, trials, ..LeadMessage::default() };
+            let mut message = LeadMessage { role: Role::Relay.into(), ..LeadMessage::default() };
+            push_trial(cause, &mut message);
             // If the connection has ended, the trial is lost.
             let _ = peer.sender.send(Body::Lead(message));
         }
--- a/crates/entry/src/process/coordinator/row.rs
+++ b/crates/entry/src/process/coordinator/row.rs
@@ -8,6 +8,7 @@
     WorkspaceId,
 };
 use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
 
 /// The row's key in the store.
 pub(crate) const LEADER_KEY: &str = "lead";
@@ -37,15 +38,18 @@
     pub floors: BTreeMap<VmId, u64>,
     /// The relays, for VMs that start.
     pub roster: Roster,
-    /// The parts of prompts that are held back.
-    pub held: Vec<HeldPartRow>,
+    /// The parts of prompts and the requests that are held back.
+    pub held: Vec<HeldRow>,
 }
 
-/// A part of prompts that is held back; times are in milliseconds of the store's clock.
+/// A part of prompts or a whole request that is held back; times are in milliseconds of the store's clock.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HeldPartRow {
-    /// The part.
+pub struct HeldRow {
+    /// The part; empty if a whole request is held back.
     pub part: PartId,
+    /// The digest of a whole request, in hexadecimal.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub digest: Option<SmolStr>,
     /// The only workspace whose requests are held back; `None` for all.
     pub workspace: Option<WorkspaceId>,
     /// When the first and the last endpoint ended that count against the part.
@@ -78,7 +82,7 @@
     #[serde(default)]
     roster: Roster,
     #[serde(default)]
-    held: Vec<HeldPartRow>,
+    held: Vec<HeldRow>,
 }
 
 /// A pool's JSON form; the first number of each entry is an index into [`Packed::vms`].
--- a/crates/entry/src/process/crashes.rs
+++ b/crates/entry/src/process/crashes.rs
@@ -6,15 +6,15 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    CrashLog, EndpointEnd, EndpointInstance, HeldPart, PartChange, PartEvidence, PartId, Prompt,
-    PromptCheck, RequestDigest, TRIAL_TERM, VmId, WorkspaceId,
+    Cause, CauseChange, CauseEvidence, CrashLog, EndpointEnd, EndpointInstance, HeldCause, PartId,
+    RequestContent, RequestDigest, SendCheck, TRIAL_TERM, VmId, WorkspaceId,
 };
 use log::{info, warn};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::edge::clock::boot_now;
-use crate::process::coordinator::row::HeldPartRow;
+use crate::process::coordinator::row::HeldRow;
 use crate::process::metrics::Metrics;
 use crate::process::scheduler::Scheduler;
 use crate::wire::{self, Lead, Status};
@@ -25,15 +25,17 @@
 /// The most ends of endpoints that are logged when a part is held back.
 const MAX_LOGGED_ENDS: usize = 8;
 
-/// What is told about parts of prompts as soon as it changes.
+/// What is told about what is held back or in doubt as soon as it changes.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub(crate) struct ToldParts {
-    held: Vec<(PartId, Option<WorkspaceId>, bool)>,
-    doubts: Vec<PartId>,
+    /// What is held back, but for requests that may be by chance.
+    held: Vec<(Cause, Option<WorkspaceId>, bool)>,
+    /// Parts in doubt, and requests that may be held back by chance.
+    doubts: Vec<Cause>,
 }
 
 impl ToldParts {
-    /// Returns whether the same parts are held back, whatever parts are in doubt.
+    /// Returns whether the same is held back, whatever is in doubt.
     pub(crate) fn same_held(&self, other: &Self) -> bool {
         self.held == other.held
     }
@@ -55,29 +57,38 @@
     }
 
     /// Returns whether a request may be sent, for the first time or again.
-    pub(crate) fn check(&self, prompt: &Prompt) -> PromptCheck {
-        let check = self.lock().check(prompt, boot_now());
-        if check == PromptCheck::Trial {
-            info!(parts = prompt.parts.join(",").as_str(), workspace = prompt.workspace.as_str();
-                "a request is tried although a part of its prompt is held back");
-        }
-        check
+    pub(crate) fn check(&self, content: &RequestContent) -> SendCheck {
+        self.lock().check(content)
     }
 
     /// Returns whether a new request may be sent; a request that could be a trial waits for the leader's
-    /// word.
-    pub(crate) async fn admit(&self, prompt: &Prompt) -> PromptCheck {
+    /// word. `spares` says whether its service can lose an endpoint.
+    pub(crate) async fn admit(
+        &self,
+        content: &RequestContent,
+        spares: impl Fn() -> bool,
+    ) -> SendCheck {
         let until = Instant::now() + TRIAL_TERM;
         let mut asked = false;
         loop {
             let told = self.told.notified();
-            let check = self.check(prompt);
-            let PromptCheck::Held(held) = &check else { return check };
-            if !self.lock().ask_trial(&held.part, prompt.request, boot_now()) {
+            let check = self.check(content);
+            let SendCheck::Held(held) = &check else { return check };
+            if held.cause.is_request() && !spares() {
+                return check;
+            }
+            let check = self.lock().admit(content, boot_now());
+            if check == SendCheck::Trial {
+                info!(kind = held.cause.kind(), cause:% = held.cause, digest:% = content.digest,
+                    trials = held.trials + 1, workspace = content.workspace.as_str();
+                    "a request is tried although it is held back");
+            }
+            let SendCheck::Held(held) = &check else { return check };
+            if !self.lock().ask_trial(&held.cause, content.request, boot_now()) {
                 return check;
             }
             if !asked {
-                info!(part = held.part.as_str(), trials = held.trials;
+                info!(kind = held.cause.kind(), cause:% = held.cause, trials = held.trials;
                     "the leader is asked whether a request may be tried");
                 // The next report tells it.
                 self.scheduler.shortage.notify_one();
@@ -95,11 +106,11 @@
     }
 
     /// Records that an endpoint ended `at` a time, before it was seen to answer a request.
-    pub(crate) fn on_end(&self, instance: EndpointInstance, prompt: Prompt, at: Duration) {
+    pub(crate) fn on_end(&self, instance: EndpointInstance, content: RequestContent, at: Duration) {
         let now = boot_now();
         let (endpoint, born) = instance.clone();
-        let end = EndpointEnd { instance, at, suspects: vec![prompt], sound: Vec::new() };
-        if self.apply(|log| log.on_end(end, now)) {
+        let end = EndpointEnd { instance, at, suspects: vec![content], sound: Vec::new() };
+        if self.apply("own", |log| log.on_end(end, now)) {
             info!(endpoint = endpoint.as_str(), born; "an endpoint has ended under requests");
             self.metrics.endpoint_ends.add(1, &[]);
             // The next report tells it.
@@ -108,12 +119,10 @@
     }
 
     /// Records that a request is answered; the endpoint began to answer `ago`.
-    pub(crate) fn on_sound(&self, workspace: &WorkspaceId, parts: &[PartId], ago: Duration) {
-        if parts.is_empty() {
-            return;
-        }
+    pub(crate) fn on_sound(&self, content: &RequestContent, ago: Duration) {
         let now = boot_now();
-        self.apply(|log| log.on_sound(workspace, parts, now.saturating_sub(ago), now));
+        let began = now.saturating_sub(ago);
+        self.apply("own", |log| log.on_sound(&content.workspace, &content.causes, began, now));
     }
 
     /// Sets whether this VM leads.
@@ -124,7 +133,7 @@
     /// Forgets what is too old, and updates the metrics.
     pub(crate) fn prune(&self) {
         let now = boot_now();
-        self.apply(|log| log.prune(now));
+        self.apply("own", |log| log.prune(now));
         let (_, _, held) = self.lock().sizes();
         self.metrics.held_parts.record(held as u64, &[]);
     }
@@ -138,7 +147,14 @@
         let (ends, told) = log.ends_after(told);
         status.ended = ends.iter().map(|end| end_message(end, now)).collect();
         status.sound_parts = sound_messages(&log.cleared(), now);
-        status.trial_asks = log.asked_trials(now).iter().map(ToString::to_string).collect();
+        for cause in log.asked_trials(now) {
+            match cause {
+                Cause::Part(part) => status.trial_asks.push(part.into()),
+                Cause::Request(digest) => {
+                    status.request_trial_asks.push(digest.as_bytes().to_vec());
+                }
+            }
+        }
         if first {
             status.held_parts = held_messages(&log, now);
         }
@@ -148,7 +164,7 @@
     /// Applies what another VM reports.
     pub(crate) fn on_report(&self, status: &Status) {
         let now = boot_now();
-        self.apply(|log| {
+        self.apply(&status.vm, |log| {
             for held in &status.held_parts {
                 log.adopt(read_held(held, now), now);
             }
@@ -156,13 +172,13 @@
                 log.on_end(read_end(end, now), now);
             }
             for sound in &status.sound_parts {
-                let (part, began) = read_sound(sound, now);
-                log.on_told_sound(&part, began, now);
+                let (cause, began) = read_sound(sound, now);
+                log.on_told_sound(&cause, began, now);
             }
         });
     }
 
-    /// Adds to a message which parts this VM holds back.
+    /// Adds to a message what this VM holds back.
     pub(crate) fn tell(&self, message: &mut Lead) {
         let (log, now) = (self.lock(), boot_now());
         message.tells_parts = true;
@@ -178,13 +194,13 @@
     /// the lease now, and so may allow them.
     pub(crate) fn answer_asks(&self, status: &Status, leads: bool, reply: &mut Lead) {
         let (vm, now) = (VmId::new(&status.vm), boot_now());
-        for part in &status.trial_asks {
-            let part = PartId::new(part);
+        for cause in read_trials(&status.trial_asks, &status.request_trial_asks) {
             let mut log = self.lock();
             // The log may still lead although the lease has lapsed; it must not allow trials then.
-            if leads == log.leads() && log.on_trial_ask(&part, &vm, now) {
-                info!(part = part.as_str(), vm = vm.as_str(); "a VM may try one request with a part");
-                reply.trials.push(part.to_string());
+            if leads == log.leads() && log.on_trial_ask(&cause, &vm, now) {
+                info!(kind = cause.kind(), cause:%, vm = vm.as_str();
+                    "a VM may try one request that is held back");
+                push_trial(&cause, reply);
             } else if !leads {
                 // The next report tells it.
                 self.scheduler.shortage.notify_one();
@@ -193,23 +209,23 @@
     }
 
     /// Applies what the VM tells that this one reports to; returns the trials to pass on, and to whom.
-    pub(crate) fn on_told(&self, message: &Lead) -> Vec<(VmId, PartId)> {
+    pub(crate) fn on_told(&self, message: &Lead) -> Vec<(VmId, Cause)> {
         let now = boot_now();
         if message.tells_parts {
             let held = message.held_parts.iter().map(|held| read_held(held, now)).collect();
             let doubts = message.doubts.iter();
-            let doubts =
-                doubts.map(|doubt| (PartId::new(&doubt.part), time_of(doubt.first_age, now)));
+            let doubts = doubts
+                .map(|doubt| (PartId::new(&doubt.part).into(), time_of(doubt.first_age, now)));
             let doubts = doubts.collect();
-            self.apply(|log| {
+            self.apply("told", |log| {
                 log.on_told_doubts(doubts);
                 log.on_told(held, now);
             });
         }
-        let parts = message.trials.iter().map(PartId::new);
-        let allowed = parts.filter_map(|part| {
-            let vm = self.lock().on_trial_allowed(&part, now);
-            vm.map(|vm| (vm, part))
+        let allowed = read_trials(&message.trials, &message.request_trials);
+        let allowed = allowed.into_iter().filter_map(|cause| {
+            let vm = self.lock().on_trial_allowed(&cause, now);
+            vm.map(|vm| (vm, cause))
         });
         let passed_on = allowed.collect();
         self.told.notify_waiters();
@@ -218,13 +234,21 @@
 
     /// Returns the parts that are held back, for the lease's row; `to_store` converts times to the
     /// store's clock.
-    pub(crate) fn held_rows(&self, to_store: impl Fn(Duration) -> u64) -> Vec<HeldPartRow> {
+    pub(crate) fn held_rows(&self, to_store: impl Fn(Duration) -> u64) -> Vec<HeldRow> {
         let mut held = self.lock().held();
+        held.retain(|held| !is_passing(held));
         held.sort_by_key(|held| Reverse(held.last));
-        let rows = held.into_iter().take(MAX_HELD_ROWS).map(|held| HeldPartRow {
+        let rows = held.into_iter().take(MAX_HELD_ROWS).map(|held| HeldRow {
             first: to_store(held.first),
             last: to_store(held.last),
-            part: held.part,
+            digest: match &held.cause {
+                Cause::Part(_) => None,
+                Cause::Request(digest) => Some(digest.to_string().into()),
+            },
+            part: match held.cause {
+                Cause::Part(part) => part,
+                Cause::Request(_) => PartId::default(),
+            },
             workspace: held.workspace,
             ends: held.ends,
             trials: held.trials,
@@ -234,15 +258,20 @@
     }
 
     /// Adopts the parts of the lease's row; `to_local` converts times from the store's clock.
-    pub(crate) fn adopt_rows(&self, rows: &[HeldPartRow], to_local: impl Fn(u64) -> Duration) {
+    pub(crate) fn adopt_rows(&self, rows: &[HeldRow], to_local: impl Fn(u64) -> Duration) {
         if rows.is_empty() {
             return;
         }
         let now = boot_now();
-        self.apply(|log| {
+        self.apply("lease row", |log| {
             for row in rows {
-                let held = HeldPart {
-                    part: row.part.clone(),
+                let Some(cause) = read_cause_row(row) else {
+                    warn!(digest = row.digest.as_deref().unwrap_or_default();
+                        "the lease's row names a request whose digest cannot be read");
+                    continue;
+                };
+                let held = HeldCause {
+                    cause,
                     workspace: row.workspace.clone(),
                     first: to_local(row.first),
                     last: to_local(row.last),
@@ -258,16 +287,19 @@
     /// Returns the parts that are held back or in doubt, in a fixed order.
     pub(crate) fn told_parts(&self) -> ToldParts {
         let log = self.lock();
-        let held = log.held().into_iter().map(|held| (held.part, held.workspace, held.weak));
+        let (passing, lasting): (Vec<_>, Vec<_>) = log.held().into_iter().partition(is_passing);
+        let held = lasting.into_iter().map(|held| (held.cause, held.workspace, held.weak));
         let doubts = log.doubts().into_iter().map(|(part, _)| part);
+        let doubts = doubts.chain(passing.into_iter().map(|held| held.cause));
         let mut told = ToldParts { held: held.collect(), doubts: doubts.collect() };
         told.held.sort();
         told.doubts.sort();
         told
     }
 
-    /// Changes the log, and writes a line for each part whose state has changed.
-    fn apply<T>(&self, change: impl FnOnce(&mut CrashLog) -> T) -> T {
+    /// Changes the log, and writes a line for each cause whose state has changed; `source` says where the
+    /// change comes from.
+    fn apply<T>(&self, source: &str, change: impl FnOnce(&mut CrashLog) -> T) -> T {
         let (result, changes, has_news) = {
             let mut log = self.lock();
             (change(&mut log), log.take_changes(), log.take_news())
@@ -279,22 +311,24 @@
         let now = boot_now();
         for change in changes {
             match change {
-                PartChange::Suspected(part, ends) => {
-                    info!(part = part.as_str(), ends;
+                CauseChange::Suspected(cause, ends) => {
+                    info!(part:% = cause, ends;
                         "endpoints have ended under requests with a part of their prompts");
                 }
-                PartChange::Decided(evidence) => log_evidence(&evidence, now),
-                PartChange::Held(held) => {
-                    warn!(part = held.part.as_str(), ends = held.ends, trials = held.trials, weak = held.weak,
+                CauseChange::Decided(evidence) => log_evidence(&evidence, now),
+                CauseChange::Held(held) => {
+                    let kind = held.cause.kind();
+                    warn!(kind, cause:% = held.cause, source, ends = held.ends, trials = held.trials,
+                        trials_left = held.trials_left(), weak = held.weak,
                         workspace = held.workspace.as_deref().unwrap_or("all"),
-                        first_ms = now.saturating_sub(held.first).as_millis() as u64,
-                        last_ms = now.saturating_sub(held.last).as_millis() as u64;
-                        "a part of prompts is held back");
+                        first_ms = age(held.first, now), last_ms = age(held.last, now);
+                        "requests are held back, as endpoints have ended under them");
                 }
-                PartChange::Released(held, why) => {
-                    info!(part = held.part.as_str(), ends = held.ends, trials = held.trials, why,
-                        first_ms = now.saturating_sub(held.first).as_millis() as u64;
-                        "a part of prompts is no longer held back");
+                CauseChange::Released(held, why) => {
+                    let kind = held.cause.kind();
+                    info!(kind, cause:% = held.cause, source, ends = held.ends, trials = held.trials, why,
+                        first_ms = age(held.first, now);
+                        "requests are no longer held back");
                 }
             }
         }
@@ -306,16 +340,16 @@
     }
 }
 
-/// Writes a line for each end that counts against a part, and one for what they come to.
-fn log_evidence(evidence: &PartEvidence, now: Duration) {
-    let part = evidence.part.as_str();
+/// Writes a line for each end that counts against a cause, and one for what they come to.
+fn log_evidence(evidence: &CauseEvidence, now: Duration) {
+    let (kind, cause) = (evidence.cause.kind(), &evidence.cause);
     for ((endpoint, born), at, suspects) in evidence.ends.iter().take(MAX_LOGGED_ENDS) {
-        info!(part, endpoint = endpoint.as_str(), born, suspects, ago_ms = age(*at, now);
-            "the end of an endpoint counts against a part of prompts");
+        info!(kind, cause:%, endpoint = endpoint.as_str(), born, suspects, ago_ms = age(*at, now);
+            "the end of an endpoint counts against a cause");
     }
     let answered_ms = evidence.sound_at.map_or(-1, |at| age(at, now) as i64);
-    info!(part, ends = evidence.ends.len(), requests = evidence.requests, others = evidence.others,
-        answered_ms; "the evidence against a part of prompts suffices");
+    info!(kind, cause:%, ends = evidence.ends.len(), requests = evidence.requests,
+        others = evidence.others, answered_ms; "the evidence against a cause suffices");
 }
 
 /// Returns how long ago a time was, in milliseconds.
@@ -328,35 +362,77 @@
     now.saturating_sub(Duration::from_millis(age))
 }
 
-fn sound_messages(sound: &[(PartId, Duration)], now: Duration) -> Vec<wire::SoundPart> {
-    let message = |(part, at): &(PartId, Duration)| wire::SoundPart {
-        part: part.to_string(),
-        age: age(*at, now),
+/// Returns whether a request is held back for a moment only, until a trial or an answer tells more.
+fn is_passing(held: &HeldCause) -> bool {
+    held.cause.is_request() && held.weak
+}
+
+fn part_and_digest(cause: &Cause) -> (String, Vec<u8>) {
+    match cause {
+        Cause::Part(part) => (part.to_string(), Vec::new()),
+        Cause::Request(digest) => (String::new(), digest.as_bytes().to_vec()),
+    }
+}
+
+/// Reads the cause of a message: a request if there is a digest, else a part.
+fn read_cause(part: &str, digest: &[u8]) -> Cause {
+    RequestDigest::from_bytes(digest).map_or_else(|| Cause::Part(part.into()), Cause::Request)
+}
+
+fn read_cause_row(row: &HeldRow) -> Option<Cause> {
+    match &row.digest {
+        Some(digest) => RequestDigest::parse(digest).map(Cause::Request),
+        None => Some(Cause::Part(row.part.clone())),
+    }
+}
+
+/// Adds to a message that its receiver may try one request.
+pub(crate) fn push_trial(cause: &Cause, message: &mut Lead) {
+    match cause {
+        Cause::Part(part) => message.trials.push(part.to_string()),
+        Cause::Request(digest) => message.request_trials.push(digest.as_bytes().to_vec()),
+    }
+}
+
+fn read_trials(parts: &[String], digests: &[Vec<u8>]) -> Vec<Cause> {
+    let parts = parts.iter().map(|part| Cause::Part(part.into()));
+    let digests = digests.iter().filter_map(|digest| RequestDigest::from_bytes(digest));
+    parts.chain(digests.map(Cause::Request)).collect()
+}
+
+fn sound_messages(sound: &[(Cause, Duration)], now: Duration) -> Vec<wire::SoundPart> {
+    let message = |(cause, at): &(Cause, Duration)| {
+        let (part, digest) = part_and_digest(cause);
+        wire::SoundPart { part, digest, age: age(*at, now) }
     };
     sound.iter().map(message).collect()
 }
 
-fn read_sound(message: &wire::SoundPart, now: Duration) -> (PartId, Duration) {
-    (PartId::new(&message.part), time_of(message.age, now))
+fn read_sound(message: &wire::SoundPart, now: Duration) -> (Cause, Duration) {
+    (read_cause(&message.part, &message.digest), time_of(message.age, now))
 }
 
 fn held_messages(log: &CrashLog, now: Duration) -> Vec<wire::HeldPart> {
-    let held = log.held().into_iter().map(|held| wire::HeldPart {
-        part: held.part.to_string(),
-        workspace: held.workspace.unwrap_or_default().to_string(),
-        first_age: age(held.first, now),
-        last_age: age(held.last, now),
-        ends: held.ends,
-        trials: held.trials,
-        weak: held.weak,
+    let held = log.held().into_iter().map(|held| {
+        let (part, digest) = part_and_digest(&held.cause);
+        wire::HeldPart {
+            part,
+            digest,
+            workspace: held.workspace.unwrap_or_default().to_string(),
+            first_age: age(held.first, now),
+            last_age: age(held.last, now),
+            ends: held.ends,
+            trials: held.trials,
+            weak: held.weak,
+        }
     });
     held.collect()
 }
 
-fn read_held(message: &wire::HeldPart, now: Duration) -> HeldPart {
+fn read_held(message: &wire::HeldPart, now: Duration) -> HeldCause {
     let workspace = (!message.workspace.is_empty()).then(|| (&message.workspace).into());
-    HeldPart {
-        part: PartId::new(&message.part),
+    HeldCause {
+        cause: read_cause(&message.part, &message.digest),
         workspace,
         first: time_of(message.first_age, now),
         last: time_of(message.last_age, now),
@@ -370,7 +446,7 @@
     let suspects = end.suspects.iter().map(|suspect| wire::Prompt {
         request: suspect.request,
         workspace: suspect.workspace.to_string(),
-        parts: suspect.parts.iter().map(ToString::to_string).collect(),
+        parts: suspect.parts().map(ToString::to_string).collect(),
         digest: suspect.digest.as_bytes().to_vec(),
     });
     wire::EndpointEnd {
@@ -383,13 +459,12 @@
 }
 
 fn read_end(message: &wire::EndpointEnd, now: Duration) -> EndpointEnd {
-    let suspects = message.suspects.iter().map(|suspect| Prompt {
-        request: suspect.request,
-        workspace: (&suspect.workspace).into(),
-        parts: suspect.parts.iter().map(PartId::new).collect(),
-        digest: RequestDigest::from_bytes(&suspect.digest)
+    let suspects = message.suspects.iter().map(|suspect| {
+        let digest = RequestDigest::from_bytes(&suspect.digest)
             // A VM of an older version does not tell it.
-            .unwrap_or_else(|| RequestDigest::of_id(suspect.request)),
+            .unwrap_or_else(|| RequestDigest::of_id(suspect.request));
+        let parts = suspect.parts.iter().map(PartId::new).collect();
+        RequestContent::new(suspect.request, (&suspect.workspace).into(), parts, digest)
     });
     EndpointEnd {
         instance: (message.endpoint.as_str().into(), message.born),
--- a/crates/entry/src/process/link.rs
+++ b/crates/entry/src/process/link.rs
@@ -734,9 +734,9 @@
                 vanished: message.vanished.iter().map(EndpointId::new).collect(),
             });
         }
-        for (vm, part) in self.crashes.on_told(message) {
+        for (vm, cause) in self.crashes.on_told(message) {
             // The receiver is gone only while the process shuts down.
-            let _ = self.events.send(CoordinatorEvent::TrialAllowed(vm, part));
+            let _ = self.events.send(CoordinatorEvent::TrialAllowed(vm, cause));
         }
         self.apply_limits(message);
         match message.role() {
--- a/crates/entry/src/process/scheduler.rs
+++ b/crates/entry/src/process/scheduler.rs
@@ -313,6 +313,11 @@
         self.metrics.record_cold(cold);
     }
 
+    /// Returns whether a service can lose one endpoint.
+    pub(crate) fn has_spare(&self, service: &ServiceId) -> bool {
+        self.state().dispatcher.has_spare(service, boot_now())
+    }
+
     /// Returns why no slot is free for a request, or `None` if one is.
     pub(crate) fn shortage(&self, needs: &Requirements) -> Option<Shortage> {
         self.state().dispatcher.choose(needs, 0, boot_now()).err()
--- a/crates/entry/src/request/loss.rs
+++ b/crates/entry/src/request/loss.rs
@@ -2,7 +2,12 @@
 
 use std::time::Duration;
 
-use bamboocourse_decide::{ErrorKind, HeldPart, Prompt, PromptCheck, Refusal, SOUND_STREAM_TIME};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use bamboocourse_decide::{
+    Cause, ErrorKind, HeldCause, Refusal, RequestContent, SOUND_STREAM_TIME, SendCheck, ServiceId,
+};
 use log::info;
 use tokio::time::Instant;
 
@@ -17,6 +22,29 @@
 /// listener may close after its connections.
 const END_CHECK_DELAY: Duration = Duration::from_millis(50);
 
+/// The leave to send a request once although it is held back, to learn whether it is sound.
+#[derive(Debug, Clone)]
+pub(crate) struct TrialPass(Arc<AtomicBool>);
+
+impl TrialPass {
+    fn none() -> Self {
+        Self(Arc::new(AtomicBool::new(false)))
+    }
+
+    fn one() -> Self {
+        Self(Arc::new(AtomicBool::new(true)))
+    }
+
+    fn is_left(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Takes the leave as the request is written to an endpoint.
+    pub(super) fn use_up(&self) {
+        self.0.store(false, Ordering::Relaxed);
+    }
+}
+
 /// How far a request was at an endpoint that broke it off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Progress {
@@ -49,16 +77,15 @@
             Progress::Streaming(first) => first.elapsed(),
             Progress::Sent | Progress::Begun => Duration::ZERO,
         };
+        let parts = job.request.parts.join(",");
         info!(id = job.request.id.as_str(), endpoint = slot.name.as_str(), born = slot.instance,
             progress = progress.name(), streaming_ms = streaming.as_millis() as u64,
             filled_percent = (slot.utilization * 100.0) as u64,
-            digest:% = job.prompt.digest, workspace = job.prompt.workspace.as_str(),
-            parts = job.prompt.parts.join(",").as_str(); "an endpoint broke a request off");
+            digest:% = job.content.digest, workspace = job.content.workspace.as_str(),
+            parts = parts.as_str(); "an endpoint broke a request off");
         self.metrics.broken_off.add(1, &[]);
-        // Such a request is not sent again, and has no part that others share.
-        let is_single = job.prompt.parts.is_empty() && !job.route.retry_policy.is_retryable();
         // An endpoint that leaves is expected to end.
-        if is_single || slot.is_leaving() || streaming >= SOUND_STREAM_TIME {
+        if slot.is_leaving() || streaming >= SOUND_STREAM_TIME {
             return;
         }
         let instance = (slot.name.clone(), slot.instance);
@@ -69,11 +96,11 @@
             _ if self.crashes.has_ended(&instance) => {}
             Ok(true) => {}
             Ok(false) => {
-                let (crashes, prompt) = (self.crashes.clone(), job.prompt.clone());
+                let (crashes, content) = (self.crashes.clone(), job.content.clone());
                 tokio::spawn(async move {
                     tokio::time::sleep(END_CHECK_DELAY).await;
                     if crashes.has_ended(&instance) || pool.is_refused(address).await {
-                        crashes.on_end(instance, prompt, ended_at);
+                        crashes.on_end(instance, content, ended_at);
                     }
                 });
                 return;
@@ -81,21 +108,46 @@
             // Neither accepted nor refused: the link may be cut.
             Err(_) => return,
         }
-        self.crashes.on_end(instance, job.prompt.clone(), ended_at);
+        self.crashes.on_end(instance, job.content.clone(), ended_at);
+    }
+
+    /// Records that an endpoint has answered a request with a body that ends with its connection, which
+    /// an endpoint that ends leaves, too.
+    pub(super) fn check_unframed(&self, job: &Job, slot: &EndpointSlot, began: Instant) {
+        let (ended_at, address) = (boot_now(), slot.address);
+        let instance = (slot.name.clone(), slot.instance);
+        let (crashes, content, pool) =
+            (self.crashes.clone(), job.content.clone(), self.pool.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(END_CHECK_DELAY).await;
+            let check = tokio::time::timeout(END_CHECK_TIMEOUT, pool.is_refused(address)).await;
+            match check {
+                Ok(true) => crashes.on_end(instance, content, ended_at),
+                Ok(false) if !crashes.has_ended(&instance) => {
+                    crashes.on_sound(&content, began.elapsed());
+                }
+                // The endpoint is back already, or the link may be cut.
+                Ok(false) | Err(_) => {}
+            }
+        });
     }
 
     /// Records that an endpoint has answered a request, from `began` on.
     pub(super) fn on_answered(&self, job: &Job, began: Instant) {
-        self.crashes.on_sound(&job.prompt.workspace, &job.prompt.parts, began.elapsed());
+        self.crashes.on_sound(&job.content, began.elapsed());
     }
 
-    /// Refuses a new request if a part of its prompt is held back; returns whether it is sent as a
-    /// trial.
-    pub(super) async fn check_prompt(&self, prompt: &Prompt) -> Result<bool, Refusal> {
-        match self.crashes.admit(prompt).await {
-            PromptCheck::Open | PromptCheck::EndedEndpoints(_) => Ok(false),
-            PromptCheck::Trial => Ok(true),
-            PromptCheck::Held(held) => {
+    /// Refuses a new request if it or a part of its prompt is held back; returns whether it is sent once
+    /// as a trial.
+    pub(super) async fn check_content(
+        &self,
+        content: &RequestContent,
+        service: &ServiceId,
+    ) -> Result<TrialPass, Refusal> {
+        match self.crashes.admit(content, || self.scheduler.has_spare(service)).await {
+            SendCheck::Open | SendCheck::EndedEndpoints(_) => Ok(TrialPass::none()),
+            SendCheck::Trial => Ok(TrialPass::one()),
+            SendCheck::Held(held) => {
                 self.metrics.held_requests.add(1, &[]);
                 Err(held_refusal(&held))
             }
@@ -105,13 +157,13 @@
     /// Returns the refusal of a request that must not be sent now; `runs` counts the sends that may
     /// have run.
     pub(super) fn check_send(&self, job: &Job, runs: u32) -> Option<Refusal> {
-        if job.is_trial && runs == 0 {
+        if job.trial.is_left() {
             return None;
         }
-        let refusal = match self.crashes.check(&job.prompt) {
-            PromptCheck::Open | PromptCheck::Trial => return None,
-            PromptCheck::Held(held) => held_refusal(&held),
-            PromptCheck::EndedEndpoints(ends) => {
+        let refusal = match self.crashes.check(&job.content) {
+            SendCheck::Open | SendCheck::Trial => return None,
+            SendCheck::Held(held) => held_refusal(&held),
+            SendCheck::EndedEndpoints(ends) => {
                 let detail = format!("{ends} endpoints have ended under the request");
                 Refusal::not_run(ErrorKind::EndpointFailed, detail)
             }
@@ -122,31 +174,33 @@
         }
         // A request that may have run is not told to come back as if it had not.
         let kind = match refusal.kind {
-            ErrorKind::PromptSuspected => ErrorKind::EndpointFailed,
+            ErrorKind::PromptSuspected | ErrorKind::RequestSuspected => ErrorKind::EndpointFailed,
             kind => kind,
         };
         Some(Refusal::unknown(kind, refusal.detail))
     }
 }
 
-/// Returns the refusal of a request with a part that is held back: for good where the evidence is
-/// conclusive, else until the next request that is tried has shown whether the part is sound.
-fn held_refusal(held: &HeldPart) -> Refusal {
+/// Returns the refusal of a request that is held back: for good where the evidence is conclusive, else
+/// until the next request that is tried has shown whether it is sound.
+fn held_refusal(held: &HeldCause) -> Refusal {
+    let (final_kind, passing_kind) = match held.cause {
+        Cause::Part(_) => (ErrorKind::PromptHeld, ErrorKind::PromptSuspected),
+        Cause::Request(_) => (ErrorKind::RequestHeld, ErrorKind::RequestSuspected),
+    };
     match held.recheck_after(boot_now()) {
-        None => Refusal::not_run(ErrorKind::PromptHeld, held_detail(held)),
-        Some(wait) => {
-            Refusal::not_run(ErrorKind::PromptSuspected, held_detail(held)).retry_after(wait)
-        }
+        None => Refusal::not_run(final_kind, held_detail(held)),
+        Some(wait) => Refusal::not_run(passing_kind, held_detail(held)).retry_after(wait),
     }
 }
 
-/// Says which part of a prompt is held back, and why.
-fn held_detail(held: &HeldPart) -> String {
+/// Says what is held back, and why.
+fn held_detail(held: &HeldCause) -> String {
     let last = boot_now().saturating_sub(held.last);
-    format!(
-        "{} endpoints have ended under requests with the part {} of the prompt, the last one {} s ago",
-        held.ends,
-        held.part,
-        last.as_secs()
-    )
+    let what = match &held.cause {
+        Cause::Part(part) => format!("requests with the part {part} of the prompt"),
+        Cause::Request(digest) => format!("attempts of the request {digest}"),
+    };
+    let (ends, seconds) = (held.ends, last.as_secs());
+    format!("{ends} endpoints have ended under {what}, the last one {seconds} s ago")
 }
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -18,14 +18,17 @@
 use std::time::Duration;
 
 use bamboocourse_decide::{
-    Arrivals, ErrorKind, FleetConfig, FleetRoute, FleetWorkspace, Prompt, Refusal, RequestDigest,
-    Requirements, RunEnd, RunTimes, SendOutcome, ServiceId, Shortage, WorkspaceId, hash_of,
+    Arrivals, ErrorKind, FleetConfig, FleetRoute, FleetWorkspace, Refusal, RequestContent,
+    RequestDigest, Requirements, RunEnd, RunTimes, SendOutcome, ServiceId, Shortage, WorkspaceId,
+    hash_of,
 };
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use smol_str::SmolStr;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -44,7 +47,7 @@
 use crate::process::scheduler::{EndpointSlot, Scheduler};
 use crate::process::shutdown::{Phase, Shutdown};
 
-use self::loss::Progress;
+use self::loss::{Progress, TrialPass};
 use self::relay::Relay;
 use self::send::{EndpointResponse, SendResult};
 use self::trace::Trace;
@@ -100,10 +103,9 @@
     pub(crate) route: FleetRoute,
     pub(crate) service: ServiceId,
     pub(crate) workspace: Option<WorkspaceId>,
-    pub(crate) prompt: Prompt,
-    /// Whether it is sent although a part of its prompt is held back, to learn whether that is sound
-    /// again.
-    pub(crate) is_trial: bool,
+    pub(crate) content: RequestContent,
+    /// Whether it may be sent once although it is held back.
+    pub(crate) trial: TrialPass,
     pub(crate) urgency: u8,
     /// When the caller must have its final response.
     pub(crate) deadline: Instant,
@@ -251,17 +253,15 @@
             return Err(refusal);
         }
         let urgency = workspace.and_then(|workspace| workspace.urgency).unwrap_or(route.urgency);
-        let prompt = Prompt {
-            request: hash_of(&request.id),
-            workspace: workspace.map(|workspace| workspace.name.clone()).unwrap_or_default(),
-            parts: request.parts.clone(),
-            digest: request_digest(
-                workspace.map_or("", |workspace| &workspace.name),
-                &request,
-                &body,
-            ),
-        };
-        let is_trial = self.check_prompt(&prompt).await?;
+        let workspace_name = workspace.map(|workspace| workspace.name.clone()).unwrap_or_default();
+        let digest = request_digest(&workspace_name, &request, &body);
+        let content = RequestContent::new(
+            hash_of(&request.id),
+            workspace_name,
+            request.parts.clone(),
+            digest,
+        );
+        let trial = self.check_content(&content, service).await?;
         let permit = self.scheduler.has_limits().then(|| (service.clone(), request.target.clone()));
         let admission = match workspace {
             Some(workspace) if workspace.rate > 0.0 => {
@@ -298,8 +298,8 @@
             route: route.clone(),
             service: service.clone(),
             workspace: workspace.map(|workspace| workspace.name.clone()),
-            prompt,
-            is_trial,
+            content,
+            trial,
             urgency,
             deadline,
             target_deadline: boot_now()
@@ -366,7 +366,7 @@
             };
             let slot = match acquired {
                 Ok(slot) => slot,
-                Err(refusal) if refusal.kind == ErrorKind::PromptHeld && runs > 0 => {
+                Err(refusal) if refusal.kind.is_held() && runs > 0 => {
                     return Err(refusal);
                 }
                 Err(refusal) => {
@@ -484,7 +484,11 @@
         } else {
             slot.set_outcome(SendOutcome::Completed);
             if status.is_success() {
-                self.on_answered(job, began);
+                if is_framed(&head.headers) {
+                    self.on_answered(job, began);
+                } else {
+                    self.check_unframed(job, &slot, began);
+                }
                 run.finish(RunEnd::Whole);
             }
         }
@@ -548,10 +552,21 @@
     }
 }
 
-/// Returns the digest of what a request asks for: other attempts of its caller have the same one.
+/// Returns the digest of what a request asks for: other attempts of its caller have the same one, whatever
+/// their ids and deadlines are.
 fn request_digest(workspace: &str, request: &CallerRequest, body: &Bytes) -> RequestDigest {
     let target = request.uri.path_and_query().map_or("", |target| target.as_str());
-    RequestDigest::new(workspace, request.method.as_str(), &[&request.host, target], body)
+    let (model, session) = (model_name(request.target.as_ref()), request.session.to_string());
+    // The prompt may be given by reference, so that only its parts tell two requests apart.
+    let prompt = request.parts.iter().map(SmolStr::as_str).chain([session.as_str()]);
+    let fields: Vec<&str> =
+        [request.host.as_str(), target, &model].into_iter().chain(prompt).collect();
+    RequestDigest::new(workspace, request.method.as_str(), &fields, body)
+}
+
+/// Returns whether a body with these headers has a length or chunks, which tell that it is complete.
+fn is_framed(headers: &HeaderMap) -> bool {
+    [TRANSFER_ENCODING, CONTENT_LENGTH].iter().any(|name| headers.contains_key(name))
 }
 
 fn build_response(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
--- a/crates/entry/src/request/relay.rs
+++ b/crates/entry/src/request/relay.rs
@@ -16,7 +16,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::{FutureExt, stream};
 use http::HeaderMap;
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::header::CONTENT_TYPE;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use tokio::sync::Notify;
@@ -277,6 +277,7 @@
             if let Some(refusal) = self.pipeline.check_send(&self.job, self.runs) {
                 return Resumed::Failed(match refusal.kind {
                     ErrorKind::PromptHeld => "a part of the prompt is held back",
+                    ErrorKind::RequestHeld => "the request is held back",
                     _ => "endpoints have ended under the request",
                 });
             }
@@ -386,8 +387,7 @@
 impl Source {
     fn new(response: EndpointResponse, last_id: Option<u64>, resumed: bool) -> Self {
         let EndpointResponse { head, body, connection, idle, slot, run, .. } = response;
-        let framed =
-            [TRANSFER_ENCODING, CONTENT_LENGTH].iter().any(|name| head.headers.contains_key(name));
+        let framed = super::is_framed(&head.headers);
         let (partial, first_event) = (BytesMut::new(), None);
         Self {
             body,
--- a/crates/entry/src/request/send.rs
+++ b/crates/entry/src/request/send.rs
@@ -120,6 +120,7 @@
                 self.check_send(job, runs).is_none() && !self.is_too_late(job) && slot.may_write();
             write.begun.store(may_write, Ordering::Relaxed);
             if may_write {
+                job.trial.use_up();
                 written.notify_one();
             }
             may_write
--- a/crates/entry/src/wire/fleet.rs
+++ b/crates/entry/src/wire/fleet.rs
@@ -124,6 +124,9 @@
     /// The held parts of prompts for which the sender has a request that could be tried.
     #[prost(string, repeated, tag = "37")]
     pub trial_asks: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The digests of the requests that are held back and could be tried.
+    #[prost(bytes = "vec", repeated, tag = "40")]
+    pub request_trial_asks: ::prost::alloc::vec::Vec<::prost::alloc::vec::Vec<u8>>,
     /// Which words on failure domains the sender knows; 0 if none.
     #[prost(fixed64, tag = "38")]
     pub domains_known: u64,
@@ -255,7 +258,7 @@
     #[prost(message, repeated, tag = "5")]
     pub sound: ::prost::alloc::vec::Vec<SoundPart>,
 }
-/// A request, as far as its prompt is concerned.
+/// A request, as far as it may have ended an endpoint.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Prompt {
     /// A hash of the request's id.
@@ -271,7 +274,7 @@
     #[prost(bytes = "vec", tag = "4")]
     pub digest: ::prost::alloc::vec::Vec<u8>,
 }
-/// A part of prompts, and that a request with it was answered.
+/// A part of prompts or a whole request, and that it was answered.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SoundPart {
     /// The id of the part.
@@ -280,6 +283,9 @@
     /// How long ago the last such request began to be answered, in milliseconds.
     #[prost(uint64, tag = "2")]
     pub age: u64,
+    /// The digest of a whole request, in place of a part.
+    #[prost(bytes = "vec", tag = "3")]
+    pub digest: ::prost::alloc::vec::Vec<u8>,
 }
 /// A part of prompts under which endpoints have ended, and that may be held back soon.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -291,7 +297,7 @@
     #[prost(uint64, tag = "2")]
     pub first_age: u64,
 }
-/// A part of prompts that is held back.
+/// A part of prompts or a whole request that is held back.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HeldPart {
     /// The id of the part.
@@ -315,6 +321,9 @@
     /// Whether the part may have been there by chance when the endpoints ended.
     #[prost(bool, tag = "7")]
     pub weak: bool,
+    /// The digest of a whole request, in place of a part.
+    #[prost(bytes = "vec", tag = "8")]
+    pub digest: ::prost::alloc::vec::Vec<u8>,
 }
 /// A process instance of an endpoint that leaves.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -523,6 +532,9 @@
     /// The held parts of prompts with which the receiver may try one request each.
     #[prost(string, repeated, tag = "36")]
     pub trials: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The digests of the requests of which the receiver may try one attempt each.
+    #[prost(bytes = "vec", repeated, tag = "42")]
+    pub request_trials: ::prost::alloc::vec::Vec<::prost::alloc::vec::Vec<u8>>,
     /// All parts of prompts that the sender finds in doubt, if `tells_parts` is set.
     #[prost(message, repeated, tag = "39")]
     pub doubts: ::prost::alloc::vec::Vec<DoubtfulPart>,
--- a/crates/entry/tests/row.rs
+++ b/crates/entry/tests/row.rs
@@ -3,7 +3,7 @@
 use bamboocourse_decide::{
     FloorHistory, LeaseRow, PoolRecord, Relay, Roster, UnreportedSpend, VmId, WorkspaceId,
 };
-use bamboocourse_entry::{HeldPartRow, LeaderRow};
+use bamboocourse_entry::{HeldRow, LeaderRow};
 
 /// The longest row that the platform's store accepts, in bytes.
 const MAX_ROW_BYTES: usize = 65_536;
@@ -46,8 +46,9 @@
             leader: vm(0),
         },
         held: (0..16)
-            .map(|index| HeldPartRow {
+            .map(|index| HeldRow {
                 part: format!("5c1e07a2{index}").into(),
+                digest: None,
                 workspace: Some("workspace-1".into()),
                 first: 123_456_789,
                 last: 123_456_789,
