An answer whose status is none is a failure of its endpoint

Here 000 and 099 are refused by the HTTP library and the caller gets 502, but 101, 600 and 999 reached the caller as an answer, with the endpoint's seal. RFC 9110 knows statuses from 100 to 599; the interim ones are the library's, and 101 answers an upgrade that is never asked for.

Both pools check it where a head arrives, so that requests, streams, what takes up a broken stream, orders, reports, the store's calls and `serve` are held to it alike. The connection is closed and the request counts as one that may have run. A stored answer of `serve` whose status cannot be read was replayed as 200; now it is an unreadable record.

--- a/crates/decide/src/error.rs
+++ b/crates/decide/src/error.rs
@@ -3,6 +3,18 @@
 use std::fmt;
 use std::time::Duration;
 
+/// Returns whether an HTTP status ends a request: RFC 9110 knows none beyond 599, and 101 answers an
+/// upgrade, which is never asked for.
+///
+/// ```
+/// use bamboocourse_decide::is_final_status;
+/// assert!(is_final_status(200) && is_final_status(599));
+/// assert!(!is_final_status(0) && !is_final_status(101) && !is_final_status(600));
+/// ```
+pub fn is_final_status(status: u16) -> bool {
+    (200..=599).contains(&status)
+}
+
 /// Whether the request behind a refusal may have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunStatus {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -31,7 +31,7 @@
 pub(crate) mod request;
 pub(crate) mod version;
 
-pub use error::{ErrorKind, ErrorResponse, Refusal, RunStatus};
+pub use error::{ErrorKind, ErrorResponse, Refusal, RunStatus, is_final_status};
 pub use ids::*;
 pub use map::{FastMap, FastSet, hash_of, rendezvous_score};
 pub use process::allowance::floors::{FLOOR_TERM, FloorHistory, Floors};
--- a/crates/entry/src/edge/pool.rs
+++ b/crates/entry/src/edge/pool.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bamboocourse_decide::FastMap;
+use bamboocourse_decide::{FastMap, is_final_status};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -54,6 +54,15 @@
 
 impl std::error::Error for SendError {}
 
+/// Checks that a response has a status that ends a request; if it has not, its connection is closed.
+fn check_status(response: &Response<Incoming>) -> Result<(), SendError> {
+    let status = response.status();
+    if is_final_status(status.as_u16()) {
+        return Ok(());
+    }
+    Err(SendError::Unknown(format!("it answered with the status {}", status.as_u16())))
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// A pool of HTTP/1.1 connections by address; clones share the connections.
@@ -168,7 +177,10 @@
                 return Err(SendError::Withheld);
             }
             match connection.send(request).await {
-                Ok(response) => return Ok((response, self.wrap(address, connection))),
+                Ok(response) => {
+                    check_status(&response)?;
+                    return Ok((response, self.wrap(address, connection)));
+                }
                 Err((_, Some(unsent))) => request = unsent,
                 Err((why, None)) => return Err(SendError::Unknown(why)),
             }
@@ -178,7 +190,10 @@
             return Err(SendError::Withheld);
         }
         match connection.send(request).await {
-            Ok(response) => Ok((response, self.wrap(address, connection))),
+            Ok(response) => {
+                check_status(&response)?;
+                Ok((response, self.wrap(address, connection)))
+            }
             Err((why, Some(_))) => Err(SendError::NotSent(why)),
             Err((why, None)) => Err(SendError::Unknown(why)),
         }
--- a/crates/serve/src/edge/pool.rs
+++ b/crates/serve/src/edge/pool.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bamboocourse_decide::FastMap;
+use bamboocourse_decide::{FastMap, is_final_status};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -38,6 +38,15 @@
 
 impl std::error::Error for SendError {}
 
+/// Checks that a response has a status that ends a request; if it has not, its connection is closed.
+fn check_status(response: &Response<Incoming>) -> Result<(), SendError> {
+    let status = response.status();
+    if is_final_status(status.as_u16()) {
+        return Ok(());
+    }
+    Err(SendError::Unknown(format!("it answered with the status {}", status.as_u16())))
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// A pool of HTTP/1.1 connections by address.
@@ -70,6 +79,7 @@
         while let Some(mut sender) = self.take_idle(address) {
             match sender.try_send_request(request).await {
                 Ok(response) => {
+                    check_status(&response)?;
                     self.put_idle(address, sender);
                     return Ok(response);
                 }
@@ -82,6 +92,7 @@
         let mut sender = self.connect(address).await?;
         match sender.try_send_request(request).await {
             Ok(response) => {
+                check_status(&response)?;
                 self.put_idle(address, sender);
                 Ok(response)
             }
--- a/crates/serve/src/request/plain.rs
+++ b/crates/serve/src/request/plain.rs
@@ -342,8 +342,9 @@
 /// Returns a stored response, marked with the header `idempotent-replay`.
 fn replay(stored: StoredResponse) -> Result<Response<Body>, Refusal> {
     let bytes = hex::decode(&stored.body).map_err(|_| idempotency::unreadable_record())?;
+    let status = StatusCode::from_u16(stored.status);
     let mut response = Response::new(full_body(bytes));
-    *response.status_mut() = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
+    *response.status_mut() = status.map_err(|_| idempotency::unreadable_record())?;
     if let Ok(content_type) = HeaderValue::from_str(&stored.kind) {
         response.headers_mut().insert(header::CONTENT_TYPE, content_type);
     }
