--- a/crates/decide/src/request/crash_log/evidence.rs
+++ b/crates/decide/src/request/crash_log/evidence.rs
@@ -12,22 +12,16 @@
 /// The endpoints that must have ended under a part that no request was ever answered with, if few
 /// ended under other requests.
 pub(super) const UNKNOWN_PART_ENDS: usize = 3;
-
 /// How many endpoints must have ended under such a part for each one that ended under others.
 pub(super) const MIN_ENDS_RATIO: usize = 3;
-
 /// The requests with such a part that they must have ended under.
 pub(super) const UNKNOWN_PART_REQUESTS: usize = 2;
-
 /// The longest time between ends that count as one moment; VMs notice the loss of a rack within it.
 pub(super) const MOMENT: Duration = Duration::from_millis(100);
-
 /// The moments at which endpoints must have ended under a part.
 pub(super) const MIN_MOMENTS: usize = 3;
-
 /// The moments that suffice for a hold without a soon trial, however near to each other they are.
 pub(super) const CONCLUSIVE_MOMENTS: usize = 5;
-
 /// The least time over which endpoints must have ended under a part that no request was ever answered
 /// with: requests with a sound part that were sent meanwhile begin to be answered, and go on for
 /// [`SOUND_STREAM_TIME`].
@@ -35,16 +29,12 @@
 /// How long a part is in doubt before it is held back, so that VMs that saw it answered can say so: two
 /// reports of a relay and its members.
 pub(super) const DOUBT_TERM: Duration = Duration::from_millis(300);
-
 /// The most parts in doubt at a time; those with the most ends.
 pub(super) const MAX_DOUBTS: usize = 32;
-
 /// The endpoints that must have ended under any other part.
 pub(super) const KNOWN_PART_ENDS: usize = 5;
-
 /// The requests with such a part that they must have ended under.
 pub(super) const KNOWN_PART_REQUESTS: usize = 3;
-
 /// The least time over which they must have ended; requests with a part in use are answered within this
 /// time.
 pub(super) const KNOWN_PART_SPAN: Duration = Duration::from_secs(1);
@@ -121,18 +111,8 @@
     }
 
     /// Returns the number of moments at which the endpoints ended.
-    pub(super) fn moments(&self) -> usize {
-        let mut times = self.times.clone();
-        times.sort_unstable();
-        let mut began = None;
-        let starts = times.into_iter().filter(|at| {
-            let is_later = began.is_none_or(|began| began + MOMENT < *at);
-            if is_later {
-                began = Some(*at);
-            }
-            is_later
-        });
-        starts.count()
+    fn moments(&self) -> usize {
+        count_moments(self.times.clone())
     }
 
     pub(super) fn held_cause(&self, part: &Cause) -> HeldCause {
@@ -152,6 +132,20 @@
     }
 }
 
+/// Returns the number of moments at which endpoints ended.
+pub(super) fn count_moments(mut times: Vec<Duration>) -> usize {
+    times.sort_unstable();
+    let mut began = None;
+    let starts = times.into_iter().filter(|at| {
+        let is_later = began.is_none_or(|began| began + MOMENT < *at);
+        if is_later {
+            began = Some(*at);
+        }
+        is_later
+    });
+    starts.count()
+}
+
 /// Returns the part that most ends speak against, if they are enough to hold it back.
 pub(super) fn most_suspected(evidence: &FastMap<&Cause, Evidence<'_>>) -> Option<HeldCause> {
     let enough = evidence.iter().filter(|(_, evidence)| evidence.is_enough());
@@ -212,7 +206,7 @@
 
     /// Returns how many endpoints ended under a part since a request with it was last answered.
     pub(super) fn part_ends(&self, part: &Cause, now: Duration) -> u32 {
-        let sound_at = self.sound_at(part);
+        let sound_at = self.cleared_until(part);
         let ends = self
             .recent_ends(now)
             .filter(|end| sound_at.is_none_or(|at| at < end.at) && end.is_under(part));
@@ -320,7 +314,7 @@
                 for (place, part) in suspect.part_causes().enumerate() {
                     let known = evidence.entry(part).or_insert_with(|| Evidence {
                         first: Duration::MAX,
-                        sound_at: self.sound_at(part),
+                        sound_at: self.cleared_until(part),
                         ..Evidence::default()
                     });
                     let is_known = known.sound_at.is_some() || holds_parts;
--- a/crates/decide/src/request/crash_log/holds.rs
+++ b/crates/decide/src/request/crash_log/holds.rs
@@ -12,7 +12,6 @@
 pub(super) const UNCONFIRMED_TERM: Duration = Duration::from_secs(1);
 /// How long a part is held back after the last endpoint that ended or request that was tried.
 pub(super) const HOLD_TERM: Duration = Duration::from_secs(24 * 3_600);
-
 /// The most parts that are held back at a time; the ones held back first give way.
 pub(super) const MAX_HELD_CAUSES: usize = 64;
 
@@ -43,6 +42,8 @@
     pub(super) since: Duration,
     /// Whether the VM that this one reports to holds the part back, too.
     pub(super) told: bool,
+    /// Whether an endpoint ended under a request that was tried; only known to the leader.
+    pub(super) trial_ended: bool,
 }
 
 impl CrashLog {
@@ -77,7 +78,7 @@
     /// Adopts a part that another VM holds back and that reports to this one, unless requests with it
     /// were answered since.
     pub fn adopt(&mut self, held: HeldCause, now: Duration) {
-        if self.sound_at(&held.cause).is_none_or(|at| at <= held.first) {
+        if self.cleared_until(&held.cause).is_none_or(|at| at <= held.first) {
             self.hold(held, false, now);
         }
     }
@@ -98,7 +99,7 @@
         });
         let dropped: Vec<Cause> = dropped.map(|(cause, _)| cause.clone()).collect();
         for cause in dropped {
-            self.note_told_sound(cause.clone(), now);
+            self.let_go.insert(cause.clone(), now);
             self.release(&cause, "the VM that this one reports to has let it go");
         }
         for held in told {
@@ -147,7 +148,7 @@
             self.release(&least, "too many causes are held back");
         }
         self.changes.push(CauseChange::Held(held.clone()));
-        self.held.insert(held.cause.clone(), Hold { held, since: now, told });
+        self.held.insert(held.cause.clone(), Hold { held, since: now, told, trial_ended: false });
     }
 
     /// Lets the parts go that may be held back by chance, if another one explains the ends.
--- a/crates/decide/src/request/crash_log/mod.rs
+++ b/crates/decide/src/request/crash_log/mod.rs
@@ -56,23 +56,17 @@
 /// How long after its first event a stream counts as answered: an endpoint that crashes on a request
 /// does so when it begins to answer.
 pub const SOUND_STREAM_TIME: Duration = Duration::from_millis(300);
-
 /// How often entries are looked for that are older than that.
 const SOUND_PRUNE_INTERVAL: Duration = Duration::from_secs(30);
-
 /// The endpoints that a request may end before it is sent no more, not counting those that ended at the
 /// same moment as others that did not have it.
 const MAX_REQUEST_ENDS: usize = 2;
-
 /// The same, counting all.
 const MAX_SHARED_ENDS: usize = 3;
-
 /// The most endpoints whose end is remembered.
 const MAX_ENDS: usize = 64;
-
 /// The most suspects of one endpoint's end that are remembered.
 const MAX_SUSPECTS: usize = 256;
-
 /// The most of them that are remembered of one workspace.
 const MAX_WORKSPACE_SUSPECTS: usize = 128;
 
@@ -131,6 +125,9 @@
     sound: FastMap<WorkspaceId, Answered>,
     /// The same, as other VMs told it, for parts of suspects.
     told_sound: FastMap<Cause, Duration>,
+    /// When this VM let a cause go because the one that it reports to had: earlier ends do not count, but
+    /// no other VM must take it for answered.
+    let_go: FastMap<Cause, Duration>,
     /// When the two were last searched for entries that are too old.
     sound_pruned: Duration,
     held: FastMap<Cause, Hold>,
@@ -150,6 +147,8 @@
     open_trial: Option<(Cause, Duration)>,
     changes: Vec<CauseChange>,
     leads: bool,
+    /// Since when it does, as far as it has been noticed.
+    leads_since: Option<Duration>,
 }
 
 impl CrashLog {
@@ -245,8 +244,11 @@
             self.last_number += 1;
             *number = self.last_number;
         }
-        if self.open_trial.as_ref().is_some_and(|(cause, _)| self.ends[index].1.is_under(cause)) {
-            self.open_trial = None;
+        if let Some((cause, _)) =
+            self.open_trial.take_if(|(cause, _)| self.ends[index].1.is_under(cause))
+            && let Some(hold) = self.held.get_mut(&cause)
+        {
+            hold.trial_ended = true;
         }
         if self.ends.len() > MAX_ENDS {
             // The oldest one stays, as it tells for how long endpoints have been ending.
@@ -293,6 +295,8 @@
     /// Forgets what is too old.
     pub fn prune(&mut self, now: Duration) {
         self.ends.retain(|(_, end)| now < end.at + EVIDENCE_TERM);
+        self.leads_since = self.leads.then(|| self.leads_since.unwrap_or(now));
+        self.let_go.retain(|_, at| now < *at + EVIDENCE_TERM);
         if now >= self.sound_pruned + SOUND_PRUNE_INTERVAL {
             self.sound_pruned = now;
             for known in self.sound.values_mut() {
--- a/crates/decide/src/request/crash_log/requests.rs
+++ b/crates/decide/src/request/crash_log/requests.rs
@@ -11,7 +11,7 @@
 
 use std::time::Duration;
 
-use super::evidence::MIN_ENDS_RATIO;
+use super::evidence::{DOUBT_TERM, MIN_ENDS_RATIO, count_moments};
 use super::{Cause, CauseChange, CauseEvidence, CrashLog, EndpointEnd, HeldCause, RequestContent};
 use crate::ids::WorkspaceId;
 use crate::map::{FastMap, FastSet};
@@ -22,11 +22,21 @@
 /// The endpoints that must have ended under any other request: one that comes often is at every busy
 /// endpoint, and one that is repeated may lose two in a wave of ends.
 const REQUEST_ENDS: u32 = 3;
+/// The moments at which these must have ended: one that comes often is at all endpoints of a rack.
+const MIN_REQUEST_MOMENTS: usize = 2;
 /// The endpoints that must have ended under a request that is refused for good.
 const CONCLUSIVE_REQUEST_ENDS: u32 = 3;
 /// The least time over which they must have ended, as endpoints that end together do so within less.
 const CONCLUSIVE_REQUEST_SPAN: Duration = Duration::from_millis(500);
 
+/// How long a new leader gathers what other VMs know before it refuses a request for good.
+const LEADER_GATHER_TERM: Duration = Duration::from_secs(1);
+/// How long a request is held back by a VM that reaches no leader, which could have it tried.
+const UNLED_HOLD_TERM: Duration = Duration::from_secs(5);
+
+/// Why such a request is let go.
+const NOBODY_LEADS: &str = "no VM leads that could have it tried";
+
 /// Some of the remembered ends, a bit for each.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct EndSet(u64);
@@ -70,8 +80,8 @@
     pub(super) fn evaluate_requests(&mut self, now: Duration) {
         let mut known = self.request_ends_by_cause(now);
         // Each conclusive cause may explain the ends under others.
-        while self.decides(now)
-            && let Some(held) = self.find_conclusive(&known)
+        while self.knows_enough(now)
+            && let Some(held) = self.find_conclusive(&known, now)
         {
             let evidence = self.request_evidence(&held.cause, &known);
             self.changes.extend(evidence.map(CauseChange::Decided));
@@ -93,29 +103,45 @@
             self.hold(held, false, now);
         }
         for (cause, why) in cleared {
+            if why == NOBODY_LEADS {
+                self.let_go.insert(cause.clone(), now);
+            }
             self.release(&cause, why);
         }
     }
 
+    /// Returns whether this VM has been told the ends that others saw: it leads, and has for some time.
+    fn knows_enough(&self, now: Duration) -> bool {
+        self.leads_since.is_some_and(|since| since + LEADER_GATHER_TERM <= now)
+    }
+
     /// Returns whether enough endpoints ended under a request to hold it back, beside others.
     fn is_suspicious(&self, request: &Cause, ends: EndSet, others: u32) -> bool {
-        let is_likely = self.sound_at(request).is_none() && others < ends.len();
-        ends.len() >= if is_likely { LIKELY_REQUEST_ENDS } else { REQUEST_ENDS }
+        if self.sound_at(request).is_none() && others < ends.len() {
+            return ends.len() >= LIKELY_REQUEST_ENDS;
+        }
+        let times = || self.ends_in(ends).into_iter().map(|end| end.at).collect();
+        ends.len() >= REQUEST_ENDS && count_moments(times()) >= MIN_REQUEST_MOMENTS
     }
 
     /// Returns the requests that were held back by evidence that does not suffice any more, and why.
     fn cleared_requests(&self, known: &RequestEnds, now: Duration) -> Vec<(Cause, &'static str)> {
         let weak = self.held.iter().filter(|(cause, hold)| {
-            cause.is_request() && hold.held.weak && (self.leads || !hold.told)
+            let decides = self.leads || !hold.told || self.decides(now);
+            cause.is_request() && hold.held.weak && decides
         });
         let cleared = weak.filter_map(|(cause, hold)| {
+            let is_unled = !self.leads && self.decides(now) && hold.since + UNLED_HOLD_TERM <= now;
             let why = match known.requests.get(cause) {
+                _ if is_unled => NOBODY_LEADS,
                 None if self.is_explained(cause, hold.held.first, now) => {
                     "another cause explains the ends"
                 }
-                // A wave of ends has just begun when the first ones are known.
+                // A wave of ends has just begun when the first ones are known. Other VMs may not have told
+                // all of its suspects yet.
                 Some((ends, _))
                     if hold.held.trials == 0
+                        && hold.since + DOUBT_TERM <= now
                         && !self.is_suspicious(cause, *ends, known.others(*ends)) =>
                 {
                     "more endpoints ended under other requests"
@@ -150,7 +176,7 @@
         }
         requests.retain(|_, (ends, _)| ends.len() >= LIKELY_REQUEST_ENDS);
         for (cause, (ends, _)) in &mut requests {
-            if let Some(at) = self.sound_at(cause) {
+            if let Some(at) = self.cleared_until(cause) {
                 *ends = self.ends_since(*ends, at);
             }
         }
@@ -162,24 +188,33 @@
     }
 
     /// Finds a request that is certain to have ended endpoints and not known to be.
-    fn find_conclusive(&self, known: &RequestEnds) -> Option<HeldCause> {
+    fn find_conclusive(&self, known: &RequestEnds, now: Duration) -> Option<HeldCause> {
         let mut certain = known.requests.iter().filter(|(cause, (ends, _))| {
             let (first, last) = self.span_of(*ends);
-            let is_alone = known
-                .requests
-                .iter()
-                .all(|(other, (theirs, _))| other == *cause || !ends.is_within(*theirs));
-            !self.is_conclusive(cause)
+            let is_alone = || {
+                let mut others = known.requests.iter().filter(|(other, _)| other != cause);
+                !others.any(|(_, (theirs, _))| ends.is_within(*theirs))
+            };
+            let trial_ended = self.held.get(cause).is_some_and(|hold| hold.trial_ended);
+            let ratio = if trial_ended { 1 } else { MIN_ENDS_RATIO as u32 };
+            self.is_asked(cause, now)
                 && ends.len() >= CONCLUSIVE_REQUEST_ENDS
-                && ends.len() >= known.others(*ends) * MIN_ENDS_RATIO as u32
+                && ends.len() >= known.others(*ends) * ratio
                 && last >= first + CONCLUSIVE_REQUEST_SPAN
-                && is_alone
+                && is_alone()
                 && !self.has_rival_part(cause, *ends)
         });
         let (cause, (ends, workspace)) = certain.next()?;
         Some(HeldCause { weak: false, ..self.held_request(cause, *ends, workspace) })
     }
 
+    /// Returns whether a request that may be held back by chance has been for so long that VMs which saw it
+    /// answered would have said so.
+    fn is_asked(&self, request: &Cause, now: Duration) -> bool {
+        let hold = self.held.get(request).filter(|hold| hold.held.weak);
+        hold.is_some_and(|hold| hold.since + DOUBT_TERM <= now)
+    }
+
     /// Returns whether a part that is not the request's own was at all of these ends, and no request with it
     /// was answered since.
     fn has_rival_part(&self, request: &Cause, ends: EndSet) -> bool {
--- a/crates/decide/src/request/crash_log/sound.rs
+++ b/crates/decide/src/request/crash_log/sound.rs
@@ -8,16 +8,12 @@
 
 /// How long it is remembered that a request with a part was answered.
 pub(super) const SOUND_MEMORY: Duration = Duration::from_secs(600);
-
 /// The parts in answered requests of one workspace that are remembered; the newest half stays.
 pub(super) const MAX_SOUND_PARTS: usize = 512;
-
 /// The parts in requests that other VMs saw answered that are remembered; the newest half stays.
 pub(super) const MAX_TOLD_PARTS: usize = 4_096;
-
 /// The workspaces of which they are remembered.
 pub(super) const MAX_SOUND_WORKSPACES: usize = 256;
-
 /// The requests of one workspace that were answered and are remembered; the newest half stays.
 const MAX_SOUND_REQUESTS: usize = 512;
 
@@ -147,7 +143,12 @@
         known.collect()
     }
 
-    /// Returns when a request with a part last began to be answered.
+    /// Returns until when ends under a cause do not count.
+    pub(super) fn cleared_until(&self, cause: &Cause) -> Option<Duration> {
+        self.sound_at(cause).max(self.let_go.get(cause).copied())
+    }
+
+    /// Returns when a request with a cause last began to be answered.
     pub(super) fn sound_at(&self, cause: &Cause) -> Option<Duration> {
         let own = self.sound.values().filter_map(|known| known.get(cause));
         own.chain(self.told_sound.get(cause)).copied().max()
--- a/crates/decide/src/request/crash_log/trials.rs
+++ b/crates/decide/src/request/crash_log/trials.rs
@@ -10,7 +10,6 @@
 /// endpoint that ended to the first trial, and from each trial to the next.
 pub(super) const TRIAL_DELAYS: &[Duration] =
     &[Duration::from_secs(60), Duration::from_secs(300), Duration::from_secs(1_500)];
-
 /// The same for a part that may be held back by chance.
 pub(super) const WEAK_TRIAL_DELAYS: &[Duration] = &[
     Duration::from_millis(1_500),
@@ -19,15 +18,14 @@
     Duration::from_secs(300),
     Duration::from_secs(1_500),
 ];
-
 /// The same for a whole request.
 const REQUEST_TRIAL_DELAYS: &[Duration] = &[Duration::from_secs(60), Duration::from_secs(300)];
 /// The same for a whole request that may be held back by chance: endpoints that end are back after some
 /// seconds, and until then a trial risks one of the others.
 const WEAK_REQUEST_TRIAL_DELAYS: &[Duration] = &[
     Duration::from_millis(500),
+    Duration::from_millis(1_500),
     Duration::from_secs(5),
-    Duration::from_secs(10),
     Duration::from_secs(60),
     Duration::from_secs(300),
 ];
@@ -39,7 +37,6 @@
 /// How long the outcome of one trial of a whole request is waited for before another request is tried: two
 /// at one endpoint would both be suspects again.
 const OPEN_TRIAL_TERM: Duration = Duration::from_secs(1);
-
 /// The most endpoints that end under a part, after which no further request is tried: three more than
 /// those that suffice to hold any part back.
 pub(super) const MAX_PART_ENDS: u32 = 8;
@@ -47,7 +44,6 @@
 pub const TRIAL_TERM: Duration = Duration::from_millis(600);
 /// How long a VM asks for no further trial with a part after it asked for one in vain.
 pub(super) const TRIAL_ASK_INTERVAL: Duration = Duration::from_secs(3);
-
 /// The most asks for trials that a relay keeps for its members.
 pub(super) const MAX_TRIAL_ASKS: usize = 256;
 
--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -700,3 +700,125 @@
         prop_assert!(outcome.held_sound * 100 <= outcome.sound, "{outcome:?}");
     }
 }
+
+/// Returns an attempt of a request that is always the same.
+fn attempt(number: u64, name: &str) -> RequestContent {
+    let digest = RequestDigest::new("w", "GET", &[name], b"");
+    RequestContent::new(number, "w".into(), Vec::new(), digest)
+}
+
+/// Returns the whole requests that a log holds back, and whether that may be by chance.
+fn held_requests(log: &CrashLog) -> Vec<(RequestDigest, bool)> {
+    let held = log.held().into_iter();
+    let requests = held.filter_map(|held| match held.cause {
+        Cause::Request(digest) => Some((digest, held.weak)),
+        Cause::Part(_) => None,
+    });
+    requests.collect()
+}
+
+#[test]
+fn request_is_held_back_by_two_ends_and_refused_for_good_once_a_trial_has_ended_a_third() {
+    let mut log = CrashLog::default();
+    log.set_leads(true);
+    log.prune(seconds(0.0));
+    for number in 0..2 {
+        assert_eq!(log.admit(&attempt(number, "bad"), seconds(3.0)), SendCheck::Open);
+        add(&mut log, number as usize, 3.0 + number as f64 / 10.0, &[attempt(number, "bad")]);
+    }
+    assert_eq!(held_requests(&log), [(attempt(0, "bad").digest, true)]);
+    assert!(matches!(log.admit(&attempt(2, "bad"), seconds(3.2)), SendCheck::Held(_)));
+    assert_eq!(log.admit(&attempt(3, "bad"), seconds(3.7)), SendCheck::Trial);
+    assert!(matches!(log.admit(&attempt(4, "bad"), seconds(3.7)), SendCheck::Held(_)));
+    add(&mut log, 2, 3.8, &[attempt(3, "bad")]);
+    assert_eq!(held_requests(&log), [(attempt(0, "bad").digest, false)]);
+    assert_eq!(log.admit(&attempt(5, "other"), seconds(4.0)), SendCheck::Open);
+}
+
+// Its attempts moved on together with those of the request at fault.
+#[test]
+fn request_that_looks_like_the_one_at_fault_is_let_go_when_a_trial_tells_them_apart() {
+    let mut log = CrashLog::default();
+    log.set_leads(true);
+    log.prune(seconds(0.0));
+    for number in 0..3 {
+        let suspects = [attempt(number, "bad"), attempt(10 + number, "sound")];
+        add(&mut log, number as usize, 3.0 + number as f64 / 2.0, &suspects);
+    }
+    log.prune(seconds(4.5));
+    assert!(held_requests(&log).iter().all(|(_, weak)| *weak), "{:?}", held_requests(&log));
+    assert_eq!(held_requests(&log).len(), 2);
+    assert_eq!(log.admit(&attempt(20, "bad"), seconds(5.0)), SendCheck::Trial);
+    assert!(matches!(log.admit(&attempt(21, "sound"), seconds(5.0)), SendCheck::Held(_)));
+    add(&mut log, 3, 5.1, &[attempt(20, "bad")]);
+    assert_eq!(held_requests(&log), [(attempt(0, "bad").digest, false)]);
+    assert_eq!(log.admit(&attempt(22, "sound"), seconds(5.2)), SendCheck::Open);
+}
+
+// All endpoints of its service end at once, again and again, and it is at each of them.
+#[test]
+fn request_that_comes_often_is_cleared_by_each_answer() {
+    let mut log = CrashLog::default();
+    log.set_leads(true);
+    for round in 0..20 {
+        let at = round as f64;
+        let popular = attempt(round, "popular");
+        log.on_sound(&popular.workspace, &popular.causes, seconds(at + 0.5), seconds(at + 0.5));
+        for endpoint in 0..3 {
+            add(&mut log, (round * 3 + endpoint) as usize, at + 0.7, &[attempt(round, "popular")]);
+        }
+        assert!(held_requests(&log).is_empty());
+    }
+}
+
+// An endpoint runs 6 requests and queues 24, of one workspace, that many VMs have sent.
+#[test]
+fn request_at_fault_is_found_among_all_that_an_endpoint_has() {
+    let mut log = CrashLog::default();
+    for endpoint in 0..2 {
+        for number in 0..100 {
+            let other = attempt(100 * endpoint + number, &format!("{endpoint}-{number}"));
+            add(&mut log, endpoint as usize, 1.0 + endpoint as f64, &[other]);
+        }
+        add(&mut log, endpoint as usize, 1.0 + endpoint as f64, &[attempt(900 + endpoint, "bad")]);
+    }
+    assert_eq!(held_requests(&log), [(attempt(0, "bad").digest, true)]);
+}
+
+// Two different requests of a route, one after the other, end each endpoint; their route's part does not.
+#[test]
+fn part_of_a_request_at_fault_is_not_blamed() {
+    let mut log = CrashLog::default();
+    log.set_leads(true);
+    log.prune(seconds(0.0));
+    for number in 0..4 {
+        let content =
+            RequestContent::new(number, "w".into(), vec!["route".into()], RequestDigest::of_id(77));
+        let at = 3.0 + number as f64;
+        add(&mut log, number as usize, at, &[content, prompt(50 + number, &["route"])]);
+        log.prune(seconds(at + 0.4));
+    }
+    assert!(held(&log).is_empty(), "{:?}", held(&log));
+}
+
+// A VM that lets a request go because another one says so has not seen it answered.
+#[test]
+fn request_that_another_vm_let_go_is_not_told_to_be_answered() {
+    let mut log = CrashLog::default();
+    for number in 0..2 {
+        add(&mut log, number as usize, 1.0 + number as f64 / 10.0, &[attempt(number, "bad")]);
+    }
+    log.on_told(Vec::new(), seconds(3.0));
+    assert!(log.held().is_empty());
+    let held = HeldCause {
+        cause: Cause::Request(attempt(0, "bad").digest),
+        workspace: None,
+        first: seconds(1.0),
+        last: seconds(3.5),
+        ends: 3,
+        trials: 0,
+        weak: true,
+    };
+    log.on_told(vec![held], seconds(3.6));
+    assert!(log.cleared().is_empty(), "{:?}", log.cleared());
+}
