From the id of a refused request to its digest, its ends and the trials that are left

The lines of parts and requests have one form now: kind and cause, who said so, and how many may be tried.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -24,15 +24,18 @@
 const AVAILABILITY_NOTES: [&str; 5] =
     ["all quiet", "all leave", "all limited", "endpoint wants quiet", "withheld"];
 
-/// Phrases of lines about a part of prompts that is held back, and of the crashes behind it.
-const PART_PHRASES: [&str; 4] = [
+/// Phrases of lines about a part of prompts or a request that is held back, and of the crashes behind it.
+const CAUSE_PHRASES: [&str; 7] = [
     "broke a request off",
     "with a part of their prompts",
-    "a part of prompts is held back",
+    "counts against a cause",
+    "the evidence against a cause",
+    "is held back",
     "is no longer held back",
+    "may be tried",
 ];
-/// The words before the part in the detail of a request that is refused because of one.
-const PART_PREFIX: &str = "with the part ";
+/// The words before the part or the request in the detail of a request that is refused because of it.
+const CAUSE_PREFIXES: [&str; 2] = ["with the part ", "attempts of the request "];
 
 /// A log line with its time.
 struct Line<'a> {
@@ -59,9 +62,10 @@
     let mut subjects: Vec<&str> = vec![subject];
     subjects.extend(["endpoint", "model"].iter().filter_map(|name| field_value(last.text, name)));
     let unavailable = AVAILABILITY_NOTES.iter().any(|note| last.text.contains(note));
-    let part = last.text.split_once(PART_PREFIX).and_then(|(_, rest)| rest.split(' ').next());
+    let details = CAUSE_PREFIXES.iter().filter_map(|prefix| last.text.split_once(prefix));
+    let cause = details.filter_map(|(_, rest)| rest.split([' ', ',']).next()).next();
     let context = lines.iter().filter(|line| {
-        if part.is_some_and(|part| concerns_part(line, part)) {
+        if cause.is_some_and(|cause| concerns_cause(line, cause)) {
             return line.at <= last.at;
         }
         if unavailable && holds_at(line, last.at) {
@@ -83,9 +87,9 @@
     Exit::Success
 }
 
-/// Returns whether a line tells of a part of prompts that is held back, or of a crash behind it.
-fn concerns_part(line: &Line<'_>, part: &str) -> bool {
-    PART_PHRASES.iter().any(|phrase| line.text.contains(phrase)) && mentions(line.text, part)
+/// Returns whether a line tells of a part or a request that is held back, or of a crash behind it.
+fn concerns_cause(line: &Line<'_>, cause: &str) -> bool {
+    CAUSE_PHRASES.iter().any(|phrase| line.text.contains(phrase)) && mentions(line.text, cause)
 }
 
 /// Returns whether a line tells that an endpoint leaves, or wants quiet until `at` or longer.
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -8,7 +8,7 @@
 const LOG: &str = "\
 [2026-01-25T09:30:00.000Z INFO  loss] an endpoint broke a request off id=y1 endpoint=i-5 born=7 progress=begun parts=5c1e,bad0
 [2026-01-25T09:30:01.000Z INFO  loss] an endpoint broke a request off id=y2 endpoint=i-6 born=8 progress=begun parts=5c1e,bad01
-[2026-01-25T09:30:02.000Z WARN  crashes] a part of prompts is held back part=bad0 ends=3 workspace=all
+[2026-01-25T09:30:02.000Z WARN  crashes] a cause of endpoints' ends is held back kind=part cause=bad0 source=own ends=3 workspace=all
 [2026-01-25T09:31:00.000Z INFO  scheduler] an endpoint wants no requests for a time endpoint=i-8 id=x1 quiet_ms=60000
 [2026-01-25T09:34:00.000Z INFO  scheduler] an endpoint wants no requests for a time endpoint=i-9 id=x2 quiet_ms=120000
 [2026-01-25T09:34:30.000Z INFO  limits] the limit of requests that an endpoint names has changed endpoint=i-7 born=4 from=x3 former=None rate=0.2
@@ -19,6 +19,10 @@
 [2026-01-25T09:35:13.000Z INFO  trace] a request has ended id=abcd kind=answered model=m7 endpoint=i-1
 [2026-01-25T09:35:14.000Z INFO  trace] a request has ended id=def kind=overloaded endpoint= notes=all quiet
 [2026-01-25T09:35:14.500Z INFO  trace] a request has ended id=lim kind=overloaded endpoint= notes=all limited
+[2026-01-25T09:34:40.000Z INFO  loss] an endpoint broke a request off id=z1 endpoint=i-3 born=7 progress=sent digest=f2604587 parts=
+[2026-01-25T09:34:40.500Z INFO  loss] an endpoint broke a request off id=z2 endpoint=i-4 born=8 progress=sent digest=a1b2c3d4 parts=
+[2026-01-25T09:34:41.000Z WARN  crashes] a cause of endpoints' ends is held back kind=request cause=f2604587 source=vm-3 ends=2 trials_left=5
+[2026-01-25T09:35:14.700Z INFO  trace] a request has ended id=whole kind=request_held endpoint= detail=3 endpoints have ended under attempts of the request f2604587, the last one 34 s ago
 [2026-01-25T09:35:15.000Z INFO  trace] a request has ended id=ghi kind=prompt_held endpoint= detail=3 endpoints have ended under requests with the part bad0 of the prompt, the last one 313 s ago
 ";
 
@@ -78,3 +82,10 @@
     assert!(text.contains("id=y1") && text.contains("is held back"), "{text}");
     assert!(!text.contains("id=y2"), "{text}");
 }
+
+#[test]
+fn explain_prints_the_crashes_behind_a_held_request() {
+    let text = explain("whole");
+    assert!(text.contains("id=z1") && text.contains("source=vm-3"), "{text}");
+    assert!(!text.contains("id=z2") && !text.contains("cause=bad0"), "{text}");
+}
--- a/crates/decide/src/request/crash_log/evidence.rs
+++ b/crates/decide/src/request/crash_log/evidence.rs
@@ -39,10 +39,10 @@
 /// time.
 pub(super) const KNOWN_PART_SPAN: Duration = Duration::from_secs(1);
 
-/// Why a VM has decided to hold a part back.
+/// Why a VM has decided to hold a cause back.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CauseEvidence {
-    /// The part.
+    /// The part or request.
     pub cause: Cause,
     /// The ends that count: the endpoint, when it ended, and the number of suspects.
     pub ends: Vec<(EndpointInstance, Duration, usize)>,
--- a/crates/decide/src/request/crash_log/holds.rs
+++ b/crates/decide/src/request/crash_log/holds.rs
@@ -1,4 +1,4 @@
-//! The parts that are held back, and what lets them go.
+//! What is held back, and what lets it go.
 
 use std::time::Duration;
 
@@ -12,13 +12,13 @@
 pub(super) const UNCONFIRMED_TERM: Duration = Duration::from_secs(1);
 /// How long a part is held back after the last endpoint that ended or request that was tried.
 pub(super) const HOLD_TERM: Duration = Duration::from_secs(24 * 3_600);
-/// The most parts that are held back at a time; the ones held back first give way.
+/// The most causes of one kind that are held back at a time; the ones held back first give way.
 pub(super) const MAX_HELD_CAUSES: usize = 64;
 
-/// A part that is held back.
+/// A part of prompts or a whole request that is held back.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HeldCause {
-    /// The part.
+    /// The part or request.
     pub cause: Cause,
     /// The only workspace whose requests are held back; `None` for all.
     pub workspace: Option<WorkspaceId>,
@@ -47,9 +47,9 @@
 }
 
 impl CrashLog {
-    /// Lets a part go if requests with it were answered since the first end that counts against it.
+    /// Lets a cause go if requests with it were answered since the first end that counts against it.
     ///
-    /// A part that another VM told this one to hold back is let go by that VM.
+    /// What another VM told this one to hold back is let go by that VM.
     pub(super) fn release_sound(&mut self, cause: &Cause, began: Duration, now: Duration) {
         let is_cleared = self
             .held
@@ -70,12 +70,12 @@
         }
     }
 
-    /// Returns the parts that are held back.
+    /// Returns what is held back.
     pub fn held(&self) -> Vec<HeldCause> {
         self.held.values().map(|hold| hold.held.clone()).collect()
     }
 
-    /// Adopts a part that another VM holds back and that reports to this one, unless requests with it
+    /// Adopts what another VM holds back and that reports to this one, unless requests with it
     /// were answered since.
     pub fn adopt(&mut self, held: HeldCause, now: Duration) {
         if self.cleared_until(&held.cause).is_none_or(|at| at <= held.first) {
@@ -83,9 +83,9 @@
         }
     }
 
-    /// Applies the parts that the VM holds back to which this one reports.
+    /// Applies what the VM holds back to which this one reports.
     ///
-    /// A part that it does not hold back is let go, also one that this VM held back by itself some
+    /// What it does not hold back is let go, also what this VM held back by itself some
     /// time ago: the other VM has been told the evidence, and what speaks against it. A leader ignores
     /// this, since it only reports to itself.
     pub fn on_told(&mut self, told: Vec<HeldCause>, now: Duration) {
@@ -108,7 +108,7 @@
         self.release_explained(now);
     }
 
-    /// Holds a part back, or updates what is known of one that is.
+    /// Holds a cause back, or updates what is known of one that is.
     pub(super) fn hold(&mut self, held: HeldCause, told: bool, now: Duration) {
         self.doubts.remove(&held.cause);
         if let Some(known) = self.held.get_mut(&held.cause) {
@@ -161,7 +161,7 @@
         }
     }
 
-    /// Returns the parts of a prompt that are held back.
+    /// Returns the causes of a request that are held back.
     pub(super) fn held_of<'a>(
         &'a self,
         prompt: &'a RequestContent,
--- a/crates/decide/src/request/crash_log/mod.rs
+++ b/crates/decide/src/request/crash_log/mod.rs
@@ -1,19 +1,22 @@
-//! Which parts of prompts crash the endpoints that begin to answer requests with them.
+//! Who is blamed for an endpoint's end, and who is cleared.
+//!
+//! Blamed is what was at several endpoints that ended before they had answered it, a whole request or a
+//! part of prompts; whatever was answered since is cleared, and so is what only was there when another
+//! cause explains the ends.
 //!
 //! When an endpoint's process ends, the requests that it had not yet been seen to answer are the
-//! suspects: one of them may have ended it. A part of a prompt is held back once it was among the
-//! suspects of several endpoints that ended, and no request with it has been answered since. What
-//! counts for a part, and what against:
+//! suspects: one of them may have ended it. For a part:
 //!
-//! - An endpoint counts once, whatever number of VMs saw it end. A request that was sent on from one
-//!   endpoint to the next does not suffice by itself.
+//! - An endpoint counts once, whatever number of VMs saw it end. Attempts of one request do not suffice by
+//!   themselves; then the request is to blame.
 //! - Ends at the same moment are one piece of evidence: a part that most requests share is among the
 //!   suspects of every endpoint, so the loss of a rack says nothing about it. The ends must be spread
 //!   over so long that a sound part would have been answered in between by endpoints that did not end.
 //! - A part in doubt is told to all VMs, and those that saw it answered say so before it is held back.
 //!   A VM that reports to another one leaves the decision to it.
 //! - An endpoint whose end is explained by a part that is held back already, or that more endpoints
-//!   ended under, does not count against the other parts of the same requests.
+//!   ended under, does not count against the other parts of the same requests. Nor do ends that are all
+//!   under one request that is certain to be at fault.
 //! - A part that may be held back by chance is let go once more endpoints have ended under another one,
 //!   among them all that had ended under the first.
 //! - A request with the part that some endpoint went on answering clears all earlier evidence. A part
@@ -22,11 +25,13 @@
 //! - A part is held back only for the workspace whose requests ended all these endpoints, until a
 //!   request of another one has ended one, too.
 //!
-//! The leader tells the other VMs which parts are held back and which are in doubt. A VM that it does
+//! What differs for a whole request is in [`requests`].
+//!
+//! The leader tells the other VMs what is held back and which parts are in doubt. A VM that it does
 //! not reach decides by what it has seen itself.
 //!
-//! After some time, one request is tried with a part, wherever it comes: a VM that has such a request
-//! asks for the trial with its next report, and the leader allows it to the first that asks.
+//! After some time, one attempt is tried, wherever it comes: a VM that has such a request asks for the
+//! trial with its next report, and the leader allows it to the first that asks.
 
 mod cause;
 mod evidence;
@@ -79,7 +84,7 @@
     pub at: Duration,
     /// The suspects: the requests that the endpoint had not been seen to answer.
     pub suspects: Vec<RequestContent>,
-    /// When requests with parts of the suspects last began to be answered, as far as is known.
+    /// When requests with causes of the suspects last began to be answered, as far as is known.
     pub sound: Vec<(Cause, Duration)>,
 }
 
@@ -95,35 +100,35 @@
 pub enum SendCheck {
     /// Nothing speaks against it.
     Open,
-    /// It may be sent once, to learn whether a part is sound again.
+    /// It may be sent once, to learn whether it or a part of its prompt is sound again.
     Trial,
-    /// A part of its prompt is held back.
+    /// It or a part of its prompt is held back.
     Held(HeldCause),
     /// The request itself has ended this number of endpoints.
     EndedEndpoints(usize),
 }
 
-/// A change at the parts that are held back, for logs.
+/// A change at what is held back, for logs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CauseChange {
     /// The part was a suspect when this number of endpoints ended, and needs more evidence.
     Suspected(Cause, usize),
-    /// This VM has found the evidence against a part sufficient.
+    /// This VM has found the evidence against a cause sufficient.
     Decided(CauseEvidence),
-    /// The part is held back from now on, or for all workspaces instead of one.
+    /// The cause is held back from now on, for all workspaces instead of one, or for certain.
     Held(HeldCause),
-    /// The part is no longer held back, for this reason.
+    /// The cause is no longer held back, for this reason.
     Released(HeldCause, &'static str),
 }
 
-/// The ends of endpoints, and the parts that are held back because of them, as one VM knows them.
+/// The ends of endpoints, and what is held back because of them, as one VM knows it.
 #[derive(Debug, Default)]
 pub struct CrashLog {
     ends: Vec<(u64, EndpointEnd)>,
     last_number: u64,
-    /// When requests with a part last began to be answered, as this VM saw it, for each workspace.
+    /// When requests with a cause last began to be answered, as this VM saw it, for each workspace.
     sound: FastMap<WorkspaceId, Answered>,
-    /// The same, as other VMs told it, for parts of suspects.
+    /// The same, as other VMs told it, for causes of suspects.
     told_sound: FastMap<Cause, Duration>,
     /// When this VM let a cause go because the one that it reports to had: earlier ends do not count, but
     /// no other VM must take it for answered.
@@ -141,7 +146,7 @@
     has_news: bool,
     /// The trials that this VM and those that report to it have asked for, oldest first.
     asks: Vec<TrialAsk>,
-    /// Until when this VM may try one request with a part.
+    /// Until when this VM may try one request with a cause.
     allowed: FastMap<Cause, Duration>,
     /// The request that was last tried, and until when its outcome is waited for; only at the leader.
     open_trial: Option<(Cause, Duration)>,
--- a/crates/decide/src/request/crash_log/sound.rs
+++ b/crates/decide/src/request/crash_log/sound.rs
@@ -1,4 +1,4 @@
-//! When requests with a part were answered, which speaks for the part.
+//! When requests with a cause were answered, which clears it.
 
 use std::time::Duration;
 
@@ -62,7 +62,7 @@
 }
 
 impl CrashLog {
-    /// Records that requests of a workspace with these parts are answered; the endpoint began to
+    /// Records that requests of a workspace with these causes are answered; the endpoint began to
     /// answer at `began`.
     pub fn on_sound(
         &mut self,
@@ -95,14 +95,14 @@
         }
     }
 
-    /// Records that another VM saw requests with a part being answered from `began` on.
+    /// Records that another VM saw requests with a cause being answered from `began` on.
     pub fn on_told_sound(&mut self, cause: &Cause, began: Duration, now: Duration) {
         self.note_news(cause, began.min(now));
         self.note_told_sound(cause.clone(), began.min(now));
         self.release_sound(cause, began.min(now), now);
     }
 
-    /// Notes that the VM which this one reports to waits for the word that a part was answered.
+    /// Notes that the VM which this one reports to waits for the word that a cause was answered.
     pub(super) fn note_news(&mut self, cause: &Cause, began: Duration) {
         let held = self.held.get(cause).filter(|hold| hold.told).map(|hold| &hold.held.first);
         let Some(first) = self.told_doubts.get(cause).or(held) else { return };
@@ -120,7 +120,7 @@
         keep_newest(&mut self.told_sound, MAX_TOLD_PARTS);
     }
 
-    /// Returns the parts that are held back or in doubt although requests with them were answered since,
+    /// Returns the causes that are held back or in doubt although requests with them were answered since,
     /// and when these began to be answered.
     pub fn cleared(&self) -> Vec<(Cause, Duration)> {
         let held = self.held.iter().map(|(cause, hold)| (cause, hold.held.first));
--- a/crates/decide/src/request/crash_log/trials.rs
+++ b/crates/decide/src/request/crash_log/trials.rs
@@ -1,4 +1,4 @@
-//! Requests that are tried although a part of their prompt is held back.
+//! Requests that are tried although they are held back.
 
 use std::time::Duration;
 
@@ -47,7 +47,7 @@
 /// The most asks for trials that a relay keeps for its members.
 pub(super) const MAX_TRIAL_ASKS: usize = 256;
 
-/// Who asked when for a trial with a part.
+/// Who asked when for a trial with a cause.
 #[derive(Debug)]
 pub(super) struct TrialAsk {
     pub(super) cause: Cause,
@@ -64,7 +64,7 @@
 }
 
 impl HeldCause {
-    /// Returns when the next request with the part may be tried; `None` if none will be.
+    /// Returns when the next request with the cause may be tried; `None` if none will be.
     pub(super) fn next_trial(&self) -> Option<Duration> {
         let (delays, has_ended) = match (&self.cause, self.weak) {
             (Cause::Part(_), false) => (TRIAL_DELAYS, self.ends >= MAX_PART_ENDS),
@@ -121,14 +121,14 @@
         Some(trial.saturating_sub(now) + TRIAL_TERM)
     }
 
-    /// Returns whether a request with the part may be tried.
+    /// Returns whether a request with the cause may be tried.
     pub(super) fn may_try(&self, now: Duration) -> bool {
         self.next_trial().is_some_and(|trial| trial <= now)
     }
 }
 
 impl CrashLog {
-    /// Takes the next trial with a part, if this VM leads and it is due.
+    /// Takes the next trial with a cause, if this VM leads and it is due.
     pub(super) fn take_trial(&mut self, cause: &Cause, now: Duration) -> bool {
         let is_other_open = self.open_trial.as_ref().is_some_and(|(_, until)| now < *until);
         if cause.is_request() && is_other_open {
@@ -144,7 +144,7 @@
         true
     }
 
-    /// Asks for a trial with a part for a new request that is held back because of it; returns whether
+    /// Asks for a trial with a cause for a new request that is held back because of it; returns whether
     /// the request waits for it, for at most [`TRIAL_TERM`]. One request of a VM does at a time.
     pub fn ask_trial(&mut self, cause: &Cause, request: u64, now: Duration) -> bool {
         let is_due = self.held.get(cause).is_some_and(|hold| hold.held.may_try(now));
@@ -172,7 +172,7 @@
         });
     }
 
-    /// Returns the parts for which this VM and those that report to it wait for a trial.
+    /// Returns the causes for which this VM and those that report to it wait for a trial.
     pub fn asked_trials(&self, now: Duration) -> Vec<Cause> {
         let open = self.asks.iter().filter(|ask| now < ask.at + TRIAL_TERM);
         let causes: FastSet<&Cause> = open.map(|ask| &ask.cause).collect();
@@ -194,7 +194,7 @@
         false
     }
 
-    /// Takes in that this VM, or one that reports to it, may try one request with a part; returns
+    /// Takes in that this VM, or one that reports to it, may try one request with a cause; returns
     /// the VM to pass this on to. The one that asked first gets it.
     pub fn on_trial_allowed(&mut self, cause: &Cause, now: Duration) -> Option<VmId> {
         self.drop_old_asks(now);
--- a/crates/entry/src/process/crashes.rs
+++ b/crates/entry/src/process/crashes.rs
@@ -322,13 +322,13 @@
                         trials_left = held.trials_left(), weak = held.weak,
                         workspace = held.workspace.as_deref().unwrap_or("all"),
                         first_ms = age(held.first, now), last_ms = age(held.last, now);
-                        "requests are held back, as endpoints have ended under them");
+                        "a cause of endpoints' ends is held back");
                 }
                 CauseChange::Released(held, why) => {
                     let kind = held.cause.kind();
                     info!(kind, cause:% = held.cause, source, ends = held.ends, trials = held.trials, why,
                         first_ms = age(held.first, now);
-                        "requests are no longer held back");
+                        "a cause of endpoints' ends is no longer held back");
                 }
             }
         }
