--- a/crates/decide/src/request/crash_log/holds.rs
+++ b/crates/decide/src/request/crash_log/holds.rs
@@ -22,25 +22,25 @@
     pub cause: Cause,
     /// The only workspace whose requests are held back; `None` for all.
     pub workspace: Option<WorkspaceId>,
-    /// When the first and the last endpoint ended that count against the part.
+    /// When the first and the last endpoint ended that count against it.
     pub first: Duration,
     /// See `first`.
     pub last: Duration,
-    /// The number of endpoints that ended under requests with the part, also since.
+    /// The number of endpoints that ended under it, also since.
     pub ends: u32,
     /// The number of requests that were tried since.
     pub trials: u32,
-    /// Whether the part may have been there by chance: the endpoints ended before requests with it
-    /// could have been answered, or others ended under other requests.
+    /// Whether it may have been there by chance: the endpoints ended before requests with it could have
+    /// been answered, others ended under other requests, or another cause was there, too.
     pub weak: bool,
 }
 
 #[derive(Debug, Clone)]
 pub(super) struct Hold {
     pub(super) held: HeldCause,
-    /// When this VM began to hold the part back.
+    /// When this VM began to hold it back.
     pub(super) since: Duration,
-    /// Whether the VM that this one reports to holds the part back, too.
+    /// Whether the VM that this one reports to holds it back, too.
     pub(super) told: bool,
     /// Whether an endpoint ended under a request that was tried; only known to the leader.
     pub(super) trial_ended: bool,
--- a/crates/decide/src/request/crash_log/requests.rs
+++ b/crates/decide/src/request/crash_log/requests.rs
@@ -28,15 +28,11 @@
 const CONCLUSIVE_REQUEST_ENDS: u32 = 3;
 /// The least time over which they must have ended, as endpoints that end together do so within less.
 const CONCLUSIVE_REQUEST_SPAN: Duration = Duration::from_millis(500);
-
 /// How long a new leader gathers what other VMs know before it refuses a request for good.
 const LEADER_GATHER_TERM: Duration = Duration::from_secs(1);
 /// How long a request is held back by a VM that reaches no leader, which could have it tried.
 const UNLED_HOLD_TERM: Duration = Duration::from_secs(5);
 
-/// Why such a request is let go.
-const NOBODY_LEADS: &str = "no VM leads that could have it tried";
-
 /// Some of the remembered ends, a bit for each.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct EndSet(u64);
@@ -103,11 +99,24 @@
             self.hold(held, false, now);
         }
         for (cause, why) in cleared {
-            if why == NOBODY_LEADS {
-                self.let_go.insert(cause.clone(), now);
-            }
             self.release(&cause, why);
         }
+        self.lapse_unled(now);
+    }
+
+    /// Lets the requests go that may be held back by chance, if for some time there was no leader that
+    /// could have them tried.
+    fn lapse_unled(&mut self, now: Duration) {
+        if self.leads || !self.decides(now) {
+            return;
+        }
+        let weak = self.held.iter().filter(|(cause, hold)| cause.is_request() && hold.held.weak);
+        let lapsed = weak.filter(|(_, hold)| hold.since + UNLED_HOLD_TERM <= now);
+        let lapsed: Vec<Cause> = lapsed.map(|(cause, _)| cause.clone()).collect();
+        for cause in lapsed {
+            self.let_go.insert(cause.clone(), now);
+            self.release(&cause, "no VM leads that could have it tried");
+        }
     }
 
     /// Returns whether this VM has been told the ends that others saw: it leads, and has for some time.
@@ -127,13 +136,10 @@
     /// Returns the requests that were held back by evidence that does not suffice any more, and why.
     fn cleared_requests(&self, known: &RequestEnds, now: Duration) -> Vec<(Cause, &'static str)> {
         let weak = self.held.iter().filter(|(cause, hold)| {
-            let decides = self.leads || !hold.told || self.decides(now);
-            cause.is_request() && hold.held.weak && decides
+            cause.is_request() && hold.held.weak && (self.leads || !hold.told)
         });
         let cleared = weak.filter_map(|(cause, hold)| {
-            let is_unled = !self.leads && self.decides(now) && hold.since + UNLED_HOLD_TERM <= now;
             let why = match known.requests.get(cause) {
-                _ if is_unled => NOBODY_LEADS,
                 None if self.is_explained(cause, hold.held.first, now) => {
                     "another cause explains the ends"
                 }
@@ -189,7 +195,7 @@
 
     /// Finds a request that is certain to have ended endpoints and not known to be.
     fn find_conclusive(&self, known: &RequestEnds, now: Duration) -> Option<HeldCause> {
-        let mut certain = known.requests.iter().filter(|(cause, (ends, _))| {
+        let certain = known.requests.iter().filter(|(cause, (ends, _))| {
             let (first, last) = self.span_of(*ends);
             let is_alone = || {
                 let mut others = known.requests.iter().filter(|(other, _)| other != cause);
@@ -204,7 +210,7 @@
                 && is_alone()
                 && !self.has_rival_part(cause, *ends)
         });
-        let (cause, (ends, workspace)) = certain.next()?;
+        let (cause, (ends, workspace)) = certain.min_by_key(|(cause, _)| *cause)?;
         Some(HeldCause { weak: false, ..self.held_request(cause, *ends, workspace) })
     }
 
--- a/crates/entry/src/process/coordinator/mod.rs
+++ b/crates/entry/src/process/coordinator/mod.rs
@@ -30,7 +30,7 @@
 use crate::edge::{Protocol, Store, StoreError, StoreRows, Table, WriteOutcome};
 use crate::process::active_fleet::ActiveFleet;
 use crate::process::asks::{permit_grant, permit_needs};
-use crate::process::crashes::{Crashes, ToldParts, push_trial};
+use crate::process::crashes::{Crashes, ToldCauses, push_trial};
 use crate::process::domain_words::DomainWords;
 use crate::process::endpoint_list::{EndpointList, ListEntry, ListUpdate};
 use crate::process::freshness::Freshness;
@@ -63,7 +63,7 @@
 const PLAN_TIME_DIVISOR: u32 = 16;
 /// The longest time between two plans while something has changed.
 const MAX_PLAN_INTERVAL: Duration = Duration::from_millis(250);
-/// The least time between two messages that tell only which parts of prompts are in doubt: while many endpoints
+/// The least time between two messages that tell only what is in doubt, or held back for a moment: while many endpoints
 /// end, that changes with each report.
 const DOUBT_INTERVAL: Duration = Duration::from_millis(100);
 /// How long a relay's count of its members holds.
@@ -175,9 +175,9 @@
     next_plan: Instant,
     plan_due: bool,
     /// The held parts of prompts that the VMs that report to this one were last told.
-    told_parts: ToldParts,
+    told_causes: ToldCauses,
     /// When they were told.
-    told_parts_at: Duration,
+    told_causes_at: Duration,
     /// Present while this VM holds the lease.
     leadership: Option<Leadership>,
     /// The fence and handover of the last leader that resigned, and when its message arrived.
@@ -276,8 +276,8 @@
             news: NewsLog::default(),
             next_plan: Instant::now(),
             plan_due: false,
-            told_parts: ToldParts::default(),
-            told_parts_at: Duration::ZERO,
+            told_causes: ToldCauses::default(),
+            told_causes_at: Duration::ZERO,
             leadership: None,
             handover: None,
             started: boot_now(),
@@ -300,7 +300,7 @@
                 }
             }
             self.broadcast_changes();
-            self.tell_held_parts();
+            self.tell_causes();
             self.tell_limits();
         }
     }
@@ -713,16 +713,15 @@
         self.tell_waiting_members(now);
     }
 
-    /// Tells the VMs that report to this one which parts of prompts are held back or in doubt, if that has
-    /// changed.
-    fn tell_held_parts(&mut self) {
-        let parts = self.handles.crashes.told_parts();
-        let is_early = boot_now() < self.told_parts_at + DOUBT_INTERVAL;
-        if parts == self.told_parts || (is_early && parts.same_held(&self.told_parts)) {
+    /// Tells the VMs that report to this one what is held back or in doubt, if that has changed.
+    fn tell_causes(&mut self) {
+        let causes = self.handles.crashes.told_causes();
+        let is_early = boot_now() < self.told_causes_at + DOUBT_INTERVAL;
+        if causes == self.told_causes || (is_early && causes.same_held(&self.told_causes)) {
             return;
         }
-        self.told_parts = parts;
-        self.told_parts_at = boot_now();
+        self.told_causes = causes;
+        self.told_causes_at = boot_now();
         let fence = self.leadership.as_ref().map(|leadership| leadership.fence);
         for peer in self.peers.values() {
             let (role, fence) = match (peer.position, fence) {
--- a/crates/entry/src/process/crashes.rs
+++ b/crates/entry/src/process/crashes.rs
@@ -1,5 +1,5 @@
 //! Shares a VM's log of endpoint crashes between requests, the coordinator and the links to other VMs,
-//! and writes a log line when a part of prompts is held back or let go.
+//! and writes a log line when a request or a part of prompts is held back or let go.
 
 use std::cmp::Reverse;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -27,14 +27,14 @@
 
 /// What is told about what is held back or in doubt as soon as it changes.
 #[derive(Debug, Default, PartialEq, Eq)]
-pub(crate) struct ToldParts {
+pub(crate) struct ToldCauses {
     /// What is held back, but for requests that may be by chance.
     held: Vec<(Cause, Option<WorkspaceId>, bool)>,
     /// Parts in doubt, and requests that may be held back by chance.
     doubts: Vec<Cause>,
 }
 
-impl ToldParts {
+impl ToldCauses {
     /// Returns whether the same is held back, whatever is in doubt.
     pub(crate) fn same_held(&self, other: &Self) -> bool {
         self.held == other.held
@@ -284,14 +284,14 @@
         });
     }
 
-    /// Returns the parts that are held back or in doubt, in a fixed order.
-    pub(crate) fn told_parts(&self) -> ToldParts {
+    /// Returns what is held back or in doubt, in a fixed order.
+    pub(crate) fn told_causes(&self) -> ToldCauses {
         let log = self.lock();
         let (passing, lasting): (Vec<_>, Vec<_>) = log.held().into_iter().partition(is_passing);
         let held = lasting.into_iter().map(|held| (held.cause, held.workspace, held.weak));
         let doubts = log.doubts().into_iter().map(|(part, _)| part);
         let doubts = doubts.chain(passing.into_iter().map(|held| held.cause));
-        let mut told = ToldParts { held: held.collect(), doubts: doubts.collect() };
+        let mut told = ToldCauses { held: held.collect(), doubts: doubts.collect() };
         told.held.sort();
         told.doubts.sort();
         told
--- a/crates/entry/src/request/loss.rs
+++ b/crates/entry/src/request/loss.rs
@@ -1,9 +1,8 @@
 //! What follows when an endpoint breaks off a request, or has ended under others like it.
 
-use std::time::Duration;
-
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use bamboocourse_decide::{
     Cause, ErrorKind, HeldCause, Refusal, RequestContent, SOUND_STREAM_TIME, SendCheck, ServiceId,
@@ -45,6 +44,9 @@
     }
 }
 
+/// When a request may be sent again that is held back by thin evidence and not tried any more.
+const THIN_RETRY_AFTER: Duration = Duration::from_secs(60);
+
 /// How far a request was at an endpoint that broke it off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Progress {
@@ -188,7 +190,10 @@
         Cause::Part(_) => (ErrorKind::PromptHeld, ErrorKind::PromptSuspected),
         Cause::Request(_) => (ErrorKind::RequestHeld, ErrorKind::RequestSuspected),
     };
-    match held.recheck_after(boot_now()) {
+    let wait = held.recheck_after(boot_now());
+    // A request that nothing else will clear is not refused for good by thin evidence.
+    let is_thin = held.cause.is_request() && held.weak;
+    match wait.or(is_thin.then_some(THIN_RETRY_AFTER)) {
         None => Refusal::not_run(final_kind, held_detail(held)),
         Some(wait) => Refusal::not_run(passing_kind, held_detail(held)).retry_after(wait),
     }
