--- a/crates/decide/src/request/crash_log/requests.rs
+++ b/crates/decide/src/request/crash_log/requests.rs
@@ -30,7 +30,7 @@
 const CONCLUSIVE_REQUEST_SPAN: Duration = Duration::from_millis(500);
 /// How long a new leader gathers what other VMs know before it refuses a request for good.
 const LEADER_GATHER_TERM: Duration = Duration::from_secs(1);
-/// How long a request is held back by a VM that reaches no leader, which could have it tried.
+/// How long a request is held back by a VM that hears of no leader, which could have it tried.
 const UNLED_HOLD_TERM: Duration = Duration::from_secs(5);
 
 /// Some of the remembered ends, a bit for each.
@@ -107,7 +107,8 @@
     /// Lets the requests go that may be held back by chance, if for some time there was no leader that
     /// could have them tried.
     fn lapse_unled(&mut self, now: Duration) {
-        if self.leads || !self.decides(now) {
+        let is_unled = self.last_told.is_none_or(|at| at + UNLED_HOLD_TERM <= now);
+        if self.leads || !is_unled {
             return;
         }
         let weak = self.held.iter().filter(|(cause, hold)| cause.is_request() && hold.held.weak);
--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -822,3 +822,19 @@
     log.on_told(vec![held], seconds(3.6));
     assert!(log.cleared().is_empty(), "{:?}", log.cleared());
 }
+
+// The leader was paused for two seconds (soak 18506: four attempts were sent too late).
+#[test]
+fn request_stays_held_back_while_the_leader_is_silent_for_a_moment() {
+    let mut log = CrashLog::default();
+    for number in 0..2 {
+        add(&mut log, number as usize, 1.0 + number as f64 / 10.0, &[attempt(number, "bad")]);
+    }
+    for second in 1..10 {
+        log.on_told(log.held(), seconds(1.0 + f64::from(second)));
+    }
+    log.prune(seconds(12.0));
+    assert!(matches!(log.check(&attempt(9, "bad")), SendCheck::Held(_)));
+    log.prune(seconds(15.1));
+    assert_eq!(log.check(&attempt(9, "bad")), SendCheck::Open);
+}
