A request with three ends stays held back beside more ends under others

Only a request with two ends is likely by comparison; three ends at one moment say little of a request that was answered before alone. The test failed before.

--- a/crates/decide/src/request/crash_log/requests.rs
+++ b/crates/decide/src/request/crash_log/requests.rs
@@ -22,7 +22,8 @@
 /// The endpoints that must have ended under any other request: one that comes often is at every busy
 /// endpoint, and one that is repeated may lose two in a wave of ends.
 const REQUEST_ENDS: u32 = 3;
-/// The moments at which these must have ended: one that comes often is at all endpoints of a rack.
+/// The moments at which they must have ended if it was answered before: one that comes often is at all
+/// endpoints of a rack.
 const MIN_REQUEST_MOMENTS: usize = 2;
 /// The endpoints that must have ended under a request that is refused for good.
 const CONCLUSIVE_REQUEST_ENDS: u32 = 3;
@@ -127,8 +128,9 @@
 
     /// Returns whether enough endpoints ended under a request to hold it back, beside others.
     fn is_suspicious(&self, request: &Cause, ends: EndSet, others: u32) -> bool {
-        if self.sound_at(request).is_none() && others < ends.len() {
-            return ends.len() >= LIKELY_REQUEST_ENDS;
+        if self.sound_at(request).is_none() {
+            let is_likely = others < ends.len();
+            return ends.len() >= if is_likely { LIKELY_REQUEST_ENDS } else { REQUEST_ENDS };
         }
         let times = || self.ends_in(ends).into_iter().map(|end| end.at).collect();
         ends.len() >= REQUEST_ENDS && count_moments(times()) >= MIN_REQUEST_MOMENTS
--- a/crates/decide/tests/crash_log.rs
+++ b/crates/decide/tests/crash_log.rs
@@ -838,3 +838,17 @@
     log.prune(seconds(15.1));
     assert_eq!(log.check(&attempt(9, "bad")), SendCheck::Open);
 }
+
+// Servers of models ended under another request meanwhile (soak 18801: seven attempts were sent too late).
+#[test]
+fn request_with_three_ends_stays_held_back_beside_more_ends_under_others() {
+    let mut log = CrashLog::default();
+    for number in 0..3 {
+        add(&mut log, number as usize, 1.0 + number as f64 / 50.0, &[attempt(number, "bad")]);
+    }
+    for number in 10..16 {
+        add(&mut log, number as usize, 2.0 + number as f64 / 5.0, &[prompt(number, &[BAD])]);
+    }
+    log.prune(seconds(5.3));
+    assert!(matches!(log.check(&attempt(9, "bad")), SendCheck::Held(_)));
+}
